feat: serve two client accounts end to end

Change: workspace, schemas, platform adapters, membership, configuration, positions and loans, look-up, request path, operators' calls, command line, stand-ins and the demonstration.

--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,29 @@
+import eslint from '@eslint/js';
+import tseslint from 'typescript-eslint';
+
+export default tseslint.config(
+  { ignores: ['**/dist/**', '**/node_modules/**'] },
+  eslint.configs.recommended,
+  ...tseslint.configs.strictTypeChecked,
+  ...tseslint.configs.stylisticTypeChecked,
+  {
+    languageOptions: {
+      parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname },
+    },
+    rules: {
+      '@typescript-eslint/consistent-type-imports': 'error',
+      '@typescript-eslint/restrict-template-expressions': ['error', { allowNumber: true }],
+      '@typescript-eslint/no-confusing-void-expression': ['error', { ignoreArrowShorthand: true }],
+      '@typescript-eslint/no-unnecessary-condition': [
+        'error',
+        { allowConstantLoopConditions: true },
+      ],
+      '@typescript-eslint/require-await': 'off',
+      'max-lines': ['error', { max: 320, skipBlankLines: true, skipComments: true }],
+    },
+  },
+  {
+    files: ['**/*.js', 'vitest.config.ts'],
+    ...tseslint.configs.disableTypeChecked,
+  },
+);
--- /dev/null
+++ b/packages/control/src/allotments/position-holder.ts
@@ -0,0 +1,288 @@
+import type { KeyValueStore } from '@ferrylock/platform';
+import type { Clock, Logger, Random } from '@ferrylock/utils';
+import { BackgroundTasks, jittered, shuffled } from '@ferrylock/utils';
+import type {
+  ExtraHeartbeatFields,
+  HeartbeatParticipant,
+  ReceivedHeartbeat,
+} from '../membership/heartbeat-participant.js';
+import { isServing, memberKey } from '../membership/member.js';
+import type { Membership } from '../membership/membership.js';
+import type { PeerClient } from '../peer/peer-client.js';
+import type { PeerRouter } from '../peer/peer-router.js';
+import type { OwnedUnits } from './allotment-ledger.js';
+import type { LimitRegister } from './limit-register.js';
+import { PositionFence } from './position-fence.js';
+import type { PositionLayout } from './position-layout.js';
+import { PositionReclaimer } from './position-reclaimer.js';
+import type { PositionRecord, StoredPosition } from './position-record.js';
+import { holderKey, vacantRecord } from './position-record.js';
+import type { PositionReading } from './position-store.js';
+import { PositionStore } from './position-store.js';
+
+/** Pause between two looks at the records while this daemon holds too few, and at rest. */
+const CLAIM_PAUSE_MILLISECONDS = 500;
+const REST_PAUSE_MILLISECONDS = 20_000;
+/** Pause between two looks at whether a position that is given up is still in use. */
+const GIVE_UP_CHECK_MILLISECONDS = 100;
+
+interface HeldPosition {
+  /** Clock reading from which the position may be used: loans of the holder before have ended. */
+  readonly usableFrom: number;
+}
+
+export interface PositionHolderOptions {
+  readonly layout: PositionLayout;
+  readonly store: KeyValueStore;
+  readonly membership: Membership;
+  readonly peers: PeerClient;
+  readonly register: LimitRegister;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+  /** The longest that a loan, or work begun under a position, can last, in milliseconds. */
+  readonly longestUseMilliseconds: () => number;
+  /** Whether what is in use and lent out now fits into what is owned and borrowed now. */
+  readonly usageFits: () => boolean;
+}
+
+/**
+ * Holds this daemon's positions: its own parts of every limit. The store says who holds which; a
+ * position changes hands only when its holder has stopped using it, or surely can no longer use it.
+ */
+export class PositionHolder implements OwnedUnits, HeartbeatParticipant {
+  readonly fence: PositionFence;
+  readonly #options: PositionHolderOptions;
+  readonly #records: PositionStore;
+  readonly #reclaimer: PositionReclaimer;
+  readonly #tasks: BackgroundTasks;
+  readonly #held = new Map<number, HeldPosition>();
+  /** Positions that are being given up: no longer used, not yet vacant in the store. */
+  readonly #givingUp = new Set<number>();
+  #stopping = false;
+
+  constructor(options: PositionHolderOptions) {
+    this.#options = options;
+    this.#tasks = new BackgroundTasks(options.logger);
+    this.#records = new PositionStore({ ...options, self: () => options.membership.self });
+    this.fence = new PositionFence(options.clock, () => this.#records.groupSize);
+    this.#reclaimer = new PositionReclaimer({
+      ...options,
+      records: this.#records,
+      vouchingPositions: () => this.#vouchingPositions(),
+    });
+  }
+
+  /** Positions held and in use. */
+  get positions(): number[] {
+    return [...this.#held.keys()].filter((index) => !this.#givingUp.has(index));
+  }
+
+  /** Units of a limit that are this daemon's own at this very moment. */
+  ownedUnits(limit: string): number {
+    const now = this.#options.clock.now();
+    const positions = this.positions;
+    if (!this.fence.isValid(positions)) {
+      return 0;
+    }
+    const usable = positions.filter((index) => (this.#held.get(index)?.usableFrom ?? 0) <= now);
+    return this.#options.register.unitsOf(limit, usable);
+  }
+
+  register(router: PeerRouter): void {
+    router.handle('allotments.notice', ({ position, holder }) => {
+      this.#reclaimer.promise(position, holder);
+      return { positions: this.#vouchingPositions() };
+    });
+  }
+
+  start(): void {
+    this.#tasks.start('positions', (signal) => this.#run(signal));
+  }
+
+  /** Ends at once and gives nothing back, as a crash would. */
+  async stop(): Promise<void> {
+    await this.#tasks.stop();
+  }
+
+  /** Gives every position back; loans and work begun under them must have ended before. */
+  async giveAllBack(): Promise<void> {
+    this.#stopping = true;
+    await this.#tasks.stop();
+    const reading = await this.#records.read();
+    const own = reading?.positions.filter(({ record }) => this.#isOwn(record)) ?? [];
+    this.#held.clear();
+    await Promise.all(own.map((position) => this.#records.write(position, vacantRecord())));
+  }
+
+  describe(): Partial<ExtraHeartbeatFields> {
+    return {
+      positions: this.#vouchingPositions(),
+      reclaimNotices: this.#reclaimer.promisedPositions,
+    };
+  }
+
+  received({ from, fields, notBefore }: ReceivedHeartbeat): void {
+    const peer = memberKey(from);
+    const doubted = fields.reclaimNotices.some((position) => this.#held.has(position));
+    if (doubted) {
+      this.fence.withdraw(peer);
+    } else if (notBefore > -Infinity && this.#records.isInGroup(from)) {
+      this.fence.confirmedByPeer(peer, fields.positions, notBefore);
+    }
+  }
+
+  async #run(signal: AbortSignal): Promise<void> {
+    const { clock, random } = this.#options;
+    for (;;) {
+      const members = this.#servingCount();
+      const settled = await this.#round();
+      this.fence.prune();
+      const restUntil = settled ? clock.now() + jittered(random, REST_PAUSE_MILLISECONDS) : 0;
+      do {
+        await clock.sleep(jittered(random, CLAIM_PAUSE_MILLISECONDS), signal);
+        if (signal.aborted) {
+          return;
+        }
+      } while (clock.now() < restUntil && this.#servingCount() === members);
+    }
+  }
+
+  /** One look at the records; says whether there is nothing more to do for now. */
+  async #round(): Promise<boolean> {
+    const reading = await this.#records.read();
+    if (reading === undefined) {
+      return this.positions.length > 0;
+    }
+    await this.#confirmOwn(reading);
+    await this.#reclaimer.round(reading);
+    return this.#balance(reading.positions);
+  }
+
+  /** Drops what the store gives to someone else, and answers a notice on what is held. */
+  async #confirmOwn({ positions, askedAt }: PositionReading): Promise<void> {
+    let allConfirmed = true;
+    for (const position of positions) {
+      const { index } = position.position;
+      if (!this.#held.has(index)) {
+        continue;
+      }
+      if (!this.#isOwn(position.record)) {
+        this.#held.delete(index);
+        this.#options.logger.warn('position lost', { position: index });
+      } else if (position.record.noticeBy !== null) {
+        const record = { ...position.record, noticeBy: null };
+        const answered = await this.#records.write(position, record);
+        allConfirmed &&= answered;
+      }
+    }
+    if (allConfirmed) {
+      this.fence.confirmedByStore(askedAt);
+    }
+  }
+
+  /** Takes vacant positions up to a fair share, and gives up what exceeds it. */
+  async #balance(stored: readonly StoredPosition[]): Promise<boolean> {
+    const servingHolders = this.#servingCount();
+    const fairMost = Math.ceil(stored.length / servingHolders);
+    const fairLeast = Math.max(1, Math.floor(stored.length / servingHolders));
+    const claimable = this.#byNearness(stored.filter((position) => this.#isClaimable(position)));
+    // One at a time: those who start together get to know one another before any takes much.
+    const [next] = claimable;
+    if (next !== undefined && this.positions.length < fairMost) {
+      await this.#claim(next);
+    }
+    const excess = this.positions.length - fairMost;
+    for (const index of this.positions.slice(0, Math.max(0, excess))) {
+      this.#tasks.start('give up position', () => this.#giveUp(index));
+    }
+    return this.positions.length >= fairLeast && claimable.length === 0 && excess <= 0;
+  }
+
+  async #claim(position: StoredPosition): Promise<void> {
+    const { clock, membership, logger, longestUseMilliseconds } = this.#options;
+    const { id, incarnation, controlAddress } = membership.self;
+    const wasVacant = position.record.holder === null;
+    const claimed = await this.#records.write(position, {
+      holder: { id, incarnation, controlAddress },
+      noticeBy: null,
+    });
+    if (!claimed) {
+      return;
+    }
+    const { index } = position.position;
+    // What the holder before had lent out may still be in use by its borrowers.
+    const wait = wasVacant ? 0 : longestUseMilliseconds();
+    this.#held.set(index, { usableFrom: clock.now() + wait });
+    logger.info('position taken', { position: index, wasVacant });
+  }
+
+  /**
+   * Stops using a position, waits until nothing begun under it can go on, then vacates it. It is no
+   * longer held before the write: should the reply be lost, it is taken anew like any other.
+   */
+  async #giveUp(index: number): Promise<void> {
+    const { clock, usageFits } = this.#options;
+    this.#givingUp.add(index);
+    while (!usageFits() && !this.#tasks.stopped) {
+      await clock.sleep(GIVE_UP_CHECK_MILLISECONDS, this.#tasks.signal);
+    }
+    const reading = await this.#records.read();
+    const stored = reading?.positions.find(({ position }) => position.index === index);
+    if (!this.#tasks.stopped && stored !== undefined && this.#isOwn(stored.record)) {
+      this.#held.delete(index);
+      await this.#records.write(stored, vacantRecord());
+    }
+    this.#givingUp.delete(index);
+  }
+
+  /** Only a daemon whose own positions are valid may bear witness, or promise not to. */
+  #vouchingPositions(): number[] {
+    const positions = this.positions;
+    return !this.#stopping && this.fence.isValid(positions) ? positions : [];
+  }
+
+  /** Vacant, left by an earlier self, or its own by a write whose reply was lost. */
+  #isClaimable({ position, record }: StoredPosition): boolean {
+    if (this.#held.has(position.index)) {
+      return false;
+    }
+    return record.holder === null || this.#isEarlierSelf(record) || this.#isOwn(record);
+  }
+
+  /** The process before this one on the same host and address: it is gone, or this would not run. */
+  #isEarlierSelf({ holder }: PositionRecord): boolean {
+    const { id, incarnation, controlAddress } = this.#options.membership.self;
+    return (
+      holder?.id === id &&
+      holder.controlAddress === controlAddress &&
+      holder.incarnation !== incarnation
+    );
+  }
+
+  #isOwn(record: PositionRecord): boolean {
+    return holderKey(record) === memberKey(this.#options.membership.self);
+  }
+
+  #byNearness(positions: readonly StoredPosition[]): StoredPosition[] {
+    const { membership, random } = this.#options;
+    const { failureDomain, region } = membership.self;
+    const distance = ({ position, record }: StoredPosition): number => {
+      if (this.#isEarlierSelf(record)) {
+        return 0;
+      }
+      if (position.failureDomain === failureDomain) {
+        return 1;
+      }
+      return position.region === region ? 2 : 3;
+    };
+    return shuffled(random, positions).sort((a, b) => distance(a) - distance(b));
+  }
+
+  #servingCount(): number {
+    const serving = this.#options.membership
+      .knownMembers()
+      .filter((member) => isServing(member) && this.#records.isInGroup(member));
+    return Math.max(1, serving.length);
+  }
+}
--- /dev/null
+++ b/packages/control/src/peer/peer-methods.ts
@@ -0,0 +1,106 @@
+import { changeIdSchema, configurationDocumentSchema, generationSchema } from '@ferrylock/schema';
+import { z } from 'zod';
+import { domainSummarySchema } from '../membership/domain-summary.js';
+import { memberSchema } from '../membership/member.js';
+
+/** What each side of a heartbeat says of itself. */
+const heartbeatFieldsSchema = z.object({
+  from: memberSchema,
+  /** News about members of the sender's failure domain. */
+  updates: z.array(memberSchema),
+  domainsDigest: z.string(),
+  /** Contacts in other domains that did not answer the sender, and how long ago. */
+  unreachable: z.array(z.object({ key: z.string(), ageMilliseconds: z.number().min(0) })),
+  configurationDigest: z.string(),
+  /** Age of the last confirmation, direct or through peers, that the configuration is current. */
+  configurationAgeMilliseconds: z.number().min(0).nullable(),
+  /** Positions whose holders the sender no longer vouches for. */
+  reclaimNotices: z.array(z.int().min(0)),
+  /** Positions that the sender holds, and may vouch for others with. */
+  positions: z.array(z.int().min(0)),
+});
+export type HeartbeatFields = z.infer<typeof heartbeatFieldsSchema>;
+
+const generationsSchema = z.record(z.string(), generationSchema);
+
+/** A change in the form of a merge patch (RFC 7396) to the generation before it. */
+export const configurationDeltaSchema = z.object({
+  account: z.string(),
+  fromGeneration: generationSchema,
+  generation: generationSchema,
+  changeId: changeIdSchema,
+  patch: z.unknown(),
+  /** Digest of the whole document after the patch. */
+  digest: z.string(),
+});
+export type ConfigurationDelta = z.infer<typeof configurationDeltaSchema>;
+
+const loanSchema = z.object({
+  loanId: z.string(),
+  borrower: z.string(),
+  durationMilliseconds: z.number().min(0),
+});
+
+const slotLoanSchema = z.object({ target: z.string(), units: z.int().min(1) });
+
+/** Every call between daemons, with what is sent and what comes back. */
+export const peerMethods = {
+  'membership.heartbeat': {
+    params: heartbeatFieldsSchema.extend({
+      /** Set by a daemon that knows no one yet: the answer then names every member. */
+      joining: z.boolean(),
+    }),
+    result: heartbeatFieldsSchema,
+  },
+  'membership.probe': {
+    params: z.object({ address: z.string(), incarnation: z.string() }),
+    result: z.object({ reached: z.boolean() }),
+  },
+  'membership.domains': {
+    params: z.object({ summaries: z.array(domainSummarySchema) }),
+    result: z.object({ summaries: z.array(domainSummarySchema) }),
+  },
+  'configuration.push': {
+    params: z.object({ deltas: z.array(configurationDeltaSchema) }),
+    result: z.object({ generations: generationsSchema }),
+  },
+  'configuration.pull': {
+    params: z.object({ generations: generationsSchema }),
+    result: z.object({ documents: z.array(configurationDocumentSchema) }),
+  },
+  'configuration.generation': {
+    params: z.object({ account: z.string() }),
+    result: z.object({ generation: generationSchema }),
+  },
+  /** Asks for units of a limit, or, with a loan id used before, for more time. */
+  'allotments.borrow': {
+    params: loanSchema.extend({ limit: z.string(), units: z.int().min(0) }),
+    result: z.object({ units: z.int().min(0), spare: z.int().min(0) }),
+  },
+  'allotments.return': {
+    params: z.object({ loanId: z.string(), borrower: z.string() }),
+    result: z.object({}),
+  },
+  /** Asks for free slots of any targets of a service. */
+  'slots.borrow': {
+    params: loanSchema.extend({
+      account: z.string(),
+      service: z.string(),
+      slots: z.int().min(1),
+    }),
+    result: z.object({ loans: z.array(slotLoanSchema), spare: z.int().min(0) }),
+  },
+  /** Asks the holder of a position to stop vouching for another position's holder. */
+  'allotments.notice': {
+    params: z.object({ position: z.int().min(0), holder: z.string() }),
+    result: z.object({ positions: z.array(z.int().min(0)) }),
+  },
+} as const satisfies Record<string, { params: z.ZodType; result: z.ZodType }>;
+
+export type PeerMethod = keyof typeof peerMethods;
+export type PeerParams<Method extends PeerMethod> = z.output<
+  (typeof peerMethods)[Method]['params']
+>;
+export type PeerResult<Method extends PeerMethod> = z.output<
+  (typeof peerMethods)[Method]['result']
+>;
--- /dev/null
+++ b/packages/daemon/src/http/headers.ts
@@ -0,0 +1,66 @@
+import type { IncomingHttpHeaders } from 'node:http';
+
+/** Caller's remaining time in milliseconds: a duration, since clocks differ. */
+export const TIMEOUT_HEADER = 'ferrylock-timeout-ms';
+/** Names a request that must not run twice (IETF draft idempotency-key-header). */
+export const IDEMPOTENCY_KEY_HEADER = 'idempotency-key';
+/** Set by an entry host that passes a keyed request to the one that gave the key out. */
+export const FORWARDED_HEADER = 'ferrylock-forwarded';
+/** On a target's answer with status 503: it says that it has not run the request. */
+export const SHED_HEADER = 'ferrylock-shed';
+/** On a target's answer: it is about to stop and wants no new work. */
+export const LEAVING_HEADER = 'ferrylock-leaving';
+/** On a target's answer: its load, in the ORCA JSON form. */
+export const LOAD_REPORT_HEADER = 'endpoint-load-metrics';
+/** Names one request in logs, and towards the target. */
+export const REQUEST_ID_HEADER = 'ferrylock-request-id';
+
+/** Headers that concern one connection and are not passed on (RFC 9110, 7.6.1). */
+const HOP_BY_HOP = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+  'expect',
+]);
+
+const OWN_REQUEST_HEADERS = new Set([FORWARDED_HEADER, TIMEOUT_HEADER]);
+const OWN_RESPONSE_HEADERS = new Set([LOAD_REPORT_HEADER, LEAVING_HEADER, SHED_HEADER]);
+
+/** A request's headers as they go to the target. */
+export function requestHeaders(headers: IncomingHttpHeaders): Record<string, string | string[]> {
+  return passOn(headers, OWN_REQUEST_HEADERS);
+}
+
+/** A target's headers as they go to the caller. */
+export function responseHeaders(headers: IncomingHttpHeaders): Record<string, string | string[]> {
+  return passOn(headers, OWN_RESPONSE_HEADERS);
+}
+
+function passOn(
+  headers: IncomingHttpHeaders,
+  own: ReadonlySet<string>,
+): Record<string, string | string[]> {
+  const passed: Record<string, string | string[]> = {};
+  const named = connectionOptions(headers.connection);
+  for (const name in headers) {
+    const value = headers[name];
+    if (value !== undefined && !HOP_BY_HOP.has(name) && !own.has(name) && !named.includes(name)) {
+      passed[name] = value;
+    }
+  }
+  return passed;
+}
+
+/** Headers that the sender names as concerning this connection only. */
+function connectionOptions(connection: string | undefined): string[] {
+  if (connection === undefined || connection === 'keep-alive' || connection === 'close') {
+    return [];
+  }
+  return connection.split(',').map((option) => option.trim().toLowerCase());
+}
--- /dev/null
+++ b/packages/daemon/src/request/attempt.ts
@@ -0,0 +1,177 @@
+import type { IncomingHttpHeaders, ServerResponse } from 'node:http';
+import type { MayHaveRun, NotRun, Target, Verdict } from '@ferrylock/steering';
+import { mayHaveRun, notRun } from '@ferrylock/steering';
+import {
+  LEAVING_HEADER,
+  LOAD_REPORT_HEADER,
+  responseHeaders,
+  SHED_HEADER,
+} from '../http/headers.js';
+import { parseLoadReport } from '../http/load-report.js';
+import type { RequestBody } from './request-body.js';
+import { BodyTooLarge } from './request-body.js';
+import type { FlowControl, TargetClient, TargetExchange, TargetRequest } from './target-client.js';
+
+const SHED_VALUE = 'not-run';
+const STATUS_WITHOUT_BODY = new Set([204, 304]);
+
+/** Why a try was ended from this side. */
+class AttemptAborted extends Error {
+  constructor(readonly reason: 'deadline' | 'caller-gone') {
+    super(reason);
+  }
+}
+
+/** An answer that must not be passed on as a good one. */
+class UnusableAnswer extends Error {}
+
+export interface AttemptOptions {
+  readonly client: TargetClient;
+  readonly request: TargetRequest;
+  readonly body: RequestBody;
+  readonly response: ServerResponse;
+  /** Whether a good answer counts only once the target has been given the whole body. */
+  readonly wholeUpload: boolean;
+  /** The target as this daemon observes it; absent when another entry host is asked. */
+  readonly target?: Target;
+}
+
+/**
+ * One try at one target, from the connection to the last byte of the answer. It answers the caller
+ * itself when the target has answered; what else comes of it is told by the verdict.
+ */
+export class Attempt implements TargetExchange {
+  readonly verdict: Promise<Verdict>;
+  readonly #options: AttemptOptions;
+  #settle: (verdict: Verdict) => void = () => undefined;
+  #settled = false;
+  #started = false;
+  #abort: ((reason: Error) => void) | undefined;
+  #abortedBy: AttemptAborted | undefined;
+  #status = 0;
+  #shed = false;
+  #answering = false;
+  #flow: FlowControl | undefined;
+
+  constructor(options: AttemptOptions) {
+    this.#options = options;
+    this.verdict = new Promise((resolve) => {
+      this.#settle = resolve;
+    });
+    options.client.send(options.request, this);
+  }
+
+  /** Ends the try: the caller has gone, or its time is over. */
+  abort(reason: 'deadline' | 'caller-gone'): void {
+    if (this.#settled) {
+      return;
+    }
+    const error = new AttemptAborted(reason);
+    this.#abortedBy = error;
+    if (this.#abort === undefined) {
+      this.#finish(notRun(reason, 'ended before it was sent to a target'));
+    } else {
+      this.#abort(error);
+    }
+  }
+
+  started(abort: (reason: Error) => void): void {
+    if (this.#settled || this.#started) {
+      // Never sent a second time by the transport, and not at all once its outcome has been told.
+      abort(this.#abortedBy ?? new Error('a request is sent once'));
+      return;
+    }
+    this.#started = true;
+    this.#abort = abort;
+  }
+
+  answered(status: number, headers: IncomingHttpHeaders, flow: FlowControl): void {
+    const { response, target } = this.#options;
+    this.#status = status;
+    if (target !== undefined) {
+      target.reportedLoad = parseLoadReport(headers[LOAD_REPORT_HEADER]) ?? target.reportedLoad;
+      target.leaving ||= headers[LEAVING_HEADER] !== undefined;
+    }
+    if (status === 503 && headers[SHED_HEADER] === SHED_VALUE) {
+      this.#shed = true;
+      return;
+    }
+    const fault = this.#faultOf(status, headers);
+    if (fault !== undefined) {
+      this.#abort?.(new UnusableAnswer(fault));
+      return;
+    }
+    this.#answering = true;
+    this.#flow = flow;
+    response.writeHead(status, responseHeaders(headers));
+    response.on('drain', () => {
+      flow.resume();
+    });
+  }
+
+  data(chunk: Buffer): void {
+    if (this.#shed) {
+      return;
+    }
+    if (!this.#options.response.write(chunk)) {
+      this.#flow?.pause();
+    }
+  }
+
+  ended(): void {
+    if (this.#shed) {
+      this.#finish(notRun('target-shed', 'the target sheds load and has not run it', 1));
+      return;
+    }
+    this.#options.response.end();
+    this.#finish({ kind: 'answered', status: this.#status });
+  }
+
+  failed(error: Error): void {
+    if (this.#answering) {
+      // The caller has part of the answer: cutting the connection shows that it is not whole.
+      this.#options.response.destroy();
+    }
+    this.#finish(this.#verdictOn(error));
+  }
+
+  /** An answer whose end cannot be told from a cut, or that came before the whole upload had left. */
+  #faultOf(status: number, headers: IncomingHttpHeaders): string | undefined {
+    const { request, body, wholeUpload } = this.#options;
+    const hasBody = request.method !== 'HEAD' && !STATUS_WITHOUT_BODY.has(status);
+    const isDelimited =
+      headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+    if (hasBody && !isDelimited) {
+      return 'the target’s answer does not say where it ends';
+    }
+    if (wholeUpload && status < 300 && !body.sentWhole) {
+      return 'the target confirmed an upload before it had the whole of it';
+    }
+    return undefined;
+  }
+
+  #verdictOn(error: Error): NotRun | MayHaveRun {
+    if (!this.#started) {
+      return notRun('connect-failed', `no connection to the target: ${error.message}`, 1);
+    }
+    if (this.#abortedBy !== undefined) {
+      const { reason } = this.#abortedBy;
+      const detail =
+        reason === 'deadline'
+          ? 'no whole answer came in time'
+          : 'the caller went away before the answer was whole';
+      return mayHaveRun(reason, detail);
+    }
+    if (error instanceof BodyTooLarge) {
+      return mayHaveRun('too-large', error.message);
+    }
+    return mayHaveRun('target-failed', `the target gave no whole answer: ${error.message}`);
+  }
+
+  #finish(verdict: Verdict): void {
+    if (!this.#settled) {
+      this.#settled = true;
+      this.#settle(verdict);
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/services/service-runtime.ts
@@ -0,0 +1,129 @@
+import type { AllotmentLedger, DividedLimit, SlotBorrower, SlotLoans } from '@ferrylock/control';
+import type { Declaration, Drain, ServiceDeclaration } from '@ferrylock/schema';
+import type { DistanceMap, LinkLimits, Place } from '@ferrylock/steering';
+import { RetryBudget, ServiceGate, SlotBook, TargetSet } from '@ferrylock/steering';
+import type { Clock, Random } from '@ferrylock/utils';
+
+export interface ServiceRuntimeOptions {
+  readonly account: string;
+  readonly service: string;
+  readonly entryPlace: Place;
+  readonly ledger: AllotmentLedger;
+  readonly slotLoans: SlotLoans;
+  readonly clock: Clock;
+  readonly random: Random;
+}
+
+/** What a change of its account's configuration brings to a service. */
+export interface ServiceUpdate {
+  readonly declaration: Declaration;
+  readonly drains: readonly Drain[];
+  readonly distances: DistanceMap;
+  readonly links: LinkLimits;
+}
+
+/** One service as this daemon serves it: its targets, its slots, and who waits for them. */
+export class ServiceRuntime implements SlotBorrower {
+  readonly account: string;
+  readonly service: string;
+  readonly targets: TargetSet;
+  readonly gate: ServiceGate;
+  readonly retries: RetryBudget;
+  readonly #options: ServiceRuntimeOptions;
+  readonly #book: SlotBook;
+  #declaration: ServiceDeclaration;
+  #links: LinkLimits;
+
+  constructor(options: ServiceRuntimeOptions, update: ServiceUpdate) {
+    const { account, service, entryPlace, ledger, clock, random } = options;
+    this.#options = options;
+    this.account = account;
+    this.service = service;
+    this.targets = new TargetSet(service);
+    this.#book = new SlotBook(
+      { account, service, targets: this.targets, allotment: ledger, entryPlace, clock, random },
+      update.distances,
+    );
+    this.gate = new ServiceGate({
+      book: this.#book,
+      clock,
+      hasOpenTarget: () => this.targets.open(clock.now()).length > 0,
+      onShortage: () => {
+        options.slotLoans.want(account, service);
+      },
+      onUnused: (target) => {
+        if (this.gate.waiting === 0) {
+          options.slotLoans.returnUnused(this, target.name, this.#book.unusedSlots(target));
+        }
+      },
+    });
+    this.retries = new RetryBudget(clock);
+    this.#declaration = declared(update.declaration, service);
+    this.#links = update.links;
+    this.update(update);
+  }
+
+  get declaration(): ServiceDeclaration {
+    return this.#declaration;
+  }
+
+  get links(): LinkLimits {
+    return this.#links;
+  }
+
+  get waiting(): number {
+    return this.gate.waiting;
+  }
+
+  get longestDeadlineMilliseconds(): number {
+    return this.#declaration.deadlineMilliseconds;
+  }
+
+  /** Takes up a new declaration; what was observed of targets that stay is kept. */
+  update({ declaration, drains, distances, links }: ServiceUpdate): void {
+    this.#declaration = declared(declaration, this.service);
+    this.#links = links;
+    this.#book.setDistances(distances);
+    this.targets.update(declaration, drains, distances, this.#options.clock.now());
+    this.#options.slotLoans.add(this);
+    this.gate.pump();
+  }
+
+  /** The slots of each target as limits that all daemons divide between them. */
+  slotLimits(): DividedLimit[] {
+    return this.targets.all().map((target) => ({
+      key: this.limitKey(target.name),
+      units: this.targets.slotsOf(target.name),
+      place: target.place.region,
+    }));
+  }
+
+  limitKey(target: string): string {
+    return this.#book.limitKey(target);
+  }
+
+  /** Whether no target has more of this daemon's work than slots that it may use now. */
+  usageFits(): boolean {
+    return this.targets
+      .all()
+      .every(
+        (target) => target.inFlight <= this.#options.ledger.usable(this.limitKey(target.name)),
+      );
+  }
+
+  spareSlots(): readonly { readonly target: string; readonly units: number }[] {
+    return this.#book.spareSlots();
+  }
+
+  slotsArrived(): void {
+    this.gate.pump();
+  }
+}
+
+function declared(declaration: Declaration, service: string): ServiceDeclaration {
+  const found = declaration.services[service];
+  if (found === undefined) {
+    throw new Error(`service ${service} is not declared`);
+  }
+  return found;
+}
--- /dev/null
+++ b/packages/platform/src/key-value-store.ts
@@ -0,0 +1,67 @@
+import type { Result } from 'ts-results-es';
+
+/** A value with the store revision that wrote it last. */
+export interface StoredValue {
+  readonly key: string;
+  readonly value: string;
+  readonly revision: number;
+}
+
+/**
+ * A call that brought no answer. For a write, `mayHaveTakenEffect` says whether the store may hold
+ * it all the same: only a read-back tells.
+ */
+export interface StoreFailure {
+  readonly message: string;
+  readonly mayHaveTakenEffect: boolean;
+  /** Set where a watch asked for revisions that the store no longer keeps. */
+  readonly compacted?: boolean;
+}
+
+/** The outcome of a compare-and-swap that the store answered. */
+export type SwapOutcome =
+  | { readonly swapped: true; readonly revision: number }
+  | { readonly swapped: false; readonly current: StoredValue | undefined };
+
+export interface Swap {
+  readonly key: string;
+  /** The revision the key must have; 0 where it must not exist. */
+  readonly expectedRevision: number;
+  readonly value: string;
+  /** Values written in the same transaction without a condition of their own. */
+  readonly alongside?: readonly { readonly key: string; readonly value: string }[];
+}
+
+/** A change seen by a watch; a deleted key has no value. */
+export interface StoreEvent {
+  readonly key: string;
+  readonly value: string | undefined;
+  readonly revision: number;
+}
+
+export interface StoreListing {
+  readonly values: readonly StoredValue[];
+  /** The store's revision that the listing shows. */
+  readonly revision: number;
+}
+
+export interface WatchOptions {
+  readonly prefix: string;
+  /** The first revision of interest: one past that of the listing before it. */
+  readonly fromRevision: number;
+  readonly signal: AbortSignal;
+  /** Called once the store has confirmed the watch, and again for each sign of life. */
+  readonly onAlive?: () => void;
+  readonly onEvents: (events: readonly StoreEvent[]) => void;
+}
+
+/** The platform's key-value service, as much of it as is used. */
+export interface KeyValueStore {
+  get(key: string): Promise<Result<StoredValue | undefined, StoreFailure>>;
+  list(prefix: string): Promise<Result<StoreListing, StoreFailure>>;
+  /** The store's present revision: a cheap sign that the store answers. */
+  revision(): Promise<Result<number, StoreFailure>>;
+  compareAndSwap(swap: Swap): Promise<Result<SwapOutcome, StoreFailure>>;
+  /** Runs until the signal aborts or the watch is cut; the failure says which cut it was. */
+  watch(options: WatchOptions): Promise<StoreFailure>;
+}
--- /dev/null
+++ b/packages/steering/src/limits/rate-allotment.ts
@@ -0,0 +1,9 @@
+/** This daemon's part of limits that all daemons share. */
+export interface RateAllotment {
+  /** The rate that may be used here now, of a limit with the given cap per second. */
+  usablePerSecond(limit: string, capPerSecond: number): number;
+  /** Counts how often the part shrank, so that a dip between two looks is noticed. */
+  decreases(limit: string): number;
+  /** Tells what is asked for, granted or not, so that more can be borrowed where it is needed. */
+  recordDemand(limit: string, capPerSecond: number, amount: number): void;
+}
--- /dev/null
+++ b/packages/test-utils/src/index.ts
@@ -0,0 +1,10 @@
+export { EtcdStandIn } from './etcd-stand-in.js';
+export { FakeClock } from './fake-clock.js';
+export { FakeStore } from './fake-store.js';
+export { HostListStandIn } from './host-list-stand-in.js';
+export { KeyValueEngine } from './key-value-engine.js';
+export type { StoreCallCounts, StoreFaults } from './key-value-engine.js';
+export { atec, failureDomainsOf, makeDeclaration, skovlund } from './skovlund-and-atec.js';
+export type { AccountSize, ServiceSize, TargetLocator } from './skovlund-and-atec.js';
+export { TargetStandIn } from './target-stand-in.js';
+export type { TargetBehaviour, TargetStandInOptions } from './target-stand-in.js';
--- /dev/null
+++ b/packages/utils/src/logger.ts
@@ -0,0 +1,37 @@
+import winston from 'winston';
+
+/** What the packages need of a logger: a message and typed fields, written as one JSON line. */
+export interface Logger {
+  debug(message: string, fields?: Readonly<Record<string, unknown>>): void;
+  info(message: string, fields?: Readonly<Record<string, unknown>>): void;
+  warn(message: string, fields?: Readonly<Record<string, unknown>>): void;
+  error(message: string, fields?: Readonly<Record<string, unknown>>): void;
+}
+
+/** The least severe level that is still written. */
+export type LogLevel = 'debug' | 'info' | 'warn' | 'error' | 'silent';
+
+/** A winston logger that writes JSON lines to standard error. */
+export function createLogger(
+  level: LogLevel,
+  defaultFields: Readonly<Record<string, unknown>> = {},
+): Logger {
+  return winston.createLogger({
+    level: level === 'silent' ? 'error' : level,
+    silent: level === 'silent',
+    defaultMeta: defaultFields,
+    format: winston.format.combine(winston.format.timestamp(), winston.format.json()),
+    transports: [
+      // eslint-disable-next-line @typescript-eslint/no-unsafe-class-instance-assignment -- winston's own transports are typed this way
+      new winston.transports.Console({ stderrLevels: ['debug', 'info', 'warn', 'error'] }),
+    ],
+  });
+}
+
+/** A logger that writes nothing. */
+export const silentLogger: Logger = {
+  debug: () => undefined,
+  info: () => undefined,
+  warn: () => undefined,
+  error: () => undefined,
+};
