fix: keep dead contacts of other domains out of sight, and positions safe in a restored store

A contact of a dead domain came back into sight every 10 s, so that its position never counted as abandoned. A store put back from a backup gave positions to their former holders. Change: an unreachable contact stays so until someone reaches it; records name the store that they were written to, and a doubtful one is reclaimed like a dead holder's. Watches renew themselves, and only two daemons of a domain hold one.

--- a/packages/control/src/allotments/position-holder.ts
+++ b/packages/control/src/allotments/position-holder.ts
@@ -23,6 +23,8 @@
 /** Pause between two looks at the records while this daemon holds too few, and at rest. */
 const CLAIM_PAUSE_MILLISECONDS = 500;
 const REST_PAUSE_MILLISECONDS = 20_000;
+/** Pause while a position may come free before long. */
+const WAITING_PAUSE_MILLISECONDS = 2_000;
 /** Pause between two looks at whether a position that is given up is still in use. */
 const GIVE_UP_CHECK_MILLISECONDS = 100;
 
@@ -110,9 +112,13 @@
     this.#stopping = true;
     await this.#tasks.stop();
     const reading = await this.#records.read();
-    const own = reading?.positions.filter(({ record }) => this.#isOwn(record)) ?? [];
+    if (reading === undefined) {
+      return;
+    }
+    const { positions, storeId } = reading;
+    const own = positions.filter(({ record }) => this.#isOwn(record));
     this.#held.clear();
-    await Promise.all(own.map((position) => this.#records.write(position, vacantRecord())));
+    await Promise.all(own.map((position) => this.#records.write(position, vacantRecord(storeId))));
   }
 
   describe(): Partial<ExtraHeartbeatFields> {
@@ -136,9 +142,9 @@
     const { clock, random } = this.#options;
     for (;;) {
       const members = this.#servingCount();
-      const settled = await this.#round();
+      const pause = await this.#round();
       this.fence.prune();
-      const restUntil = settled ? clock.now() + jittered(random, REST_PAUSE_MILLISECONDS) : 0;
+      const restUntil = clock.now() + jittered(random, pause);
       do {
         await clock.sleep(jittered(random, CLAIM_PAUSE_MILLISECONDS), signal);
         if (signal.aborted) {
@@ -148,31 +154,33 @@
     }
   }
 
-  /** One look at the records; says whether there is nothing more to do for now. */
-  async #round(): Promise<boolean> {
+  /** One look at the records; tells how long it may be until the next. */
+  async #round(): Promise<number> {
     const reading = await this.#records.read();
     if (reading === undefined) {
-      return this.positions.length > 0;
+      return this.positions.length > 0 ? REST_PAUSE_MILLISECONDS : CLAIM_PAUSE_MILLISECONDS;
     }
     await this.#confirmOwn(reading);
     await this.#reclaimer.round(reading);
-    return this.#balance(reading.positions);
+    return this.#balance(reading);
   }
 
-  /** Drops what the store gives to someone else, and answers a notice on what is held. */
-  async #confirmOwn({ positions, askedAt }: PositionReading): Promise<void> {
+  /**
+   * Drops what the store gives to someone else, answers a notice on what is held, and writes what is
+   * held into a store that has lost it.
+   */
+  async #confirmOwn({ positions, askedAt, storeId }: PositionReading): Promise<void> {
     let allConfirmed = true;
     for (const position of positions) {
       const { index } = position.position;
       if (!this.#held.has(index)) {
         continue;
       }
-      if (!this.#isOwn(position.record)) {
+      if (!this.#isOwn(position.record) && !position.isDoubtful) {
         this.#held.delete(index);
         this.#options.logger.warn('position lost', { position: index });
-      } else if (position.record.noticeBy !== null) {
-        const record = { ...position.record, noticeBy: null };
-        const answered = await this.#records.write(position, record);
+      } else if (position.record.noticeBy !== null || position.isDoubtful) {
+        const answered = await this.#records.write(position, this.#ownRecord(storeId));
         allConfirmed &&= answered;
       }
     }
@@ -182,7 +190,7 @@
   }
 
   /** Takes vacant positions up to a fair share, and gives up what exceeds it. */
-  async #balance(stored: readonly StoredPosition[]): Promise<boolean> {
+  async #balance({ positions: stored, storeId }: PositionReading): Promise<number> {
     const servingHolders = this.#servingCount();
     const fairMost = Math.ceil(stored.length / servingHolders);
     const fairLeast = Math.max(1, Math.floor(stored.length / servingHolders));
@@ -190,24 +198,33 @@
     // One at a time: those who start together get to know one another before any takes much.
     const [next] = claimable;
     if (next !== undefined && this.positions.length < fairMost) {
-      await this.#claim(next);
+      await this.#claim(next, storeId);
     }
     const excess = this.positions.length - fairMost;
     for (const index of this.positions.slice(0, Math.max(0, excess))) {
       this.#tasks.start('give up position', () => this.#giveUp(index));
     }
-    return this.positions.length >= fairLeast && claimable.length === 0 && excess <= 0;
+    if (this.positions.length < fairLeast || claimable.length > 0 || excess > 0) {
+      return CLAIM_PAUSE_MILLISECONDS;
+    }
+    return this.#hasAbsentHolder(stored) ? WAITING_PAUSE_MILLISECONDS : REST_PAUSE_MILLISECONDS;
   }
 
-  async #claim(position: StoredPosition): Promise<void> {
-    const { clock, membership, logger, longestUseMilliseconds } = this.#options;
-    const { id, incarnation, controlAddress } = membership.self;
-    const wasVacant = position.record.holder === null;
-    const claimed = await this.#records.write(position, {
-      holder: { id, incarnation, controlAddress },
-      noticeBy: null,
+  /** Whether a position will come free before long: its holder leaves, or seems dead. */
+  #hasAbsentHolder(stored: readonly StoredPosition[]): boolean {
+    const serving = new Set(
+      this.#options.membership.knownMembers().filter(isServing).map(memberKey),
+    );
+    return stored.some(({ record }) => {
+      const holder = holderKey(record);
+      return holder !== undefined && !serving.has(holder);
     });
-    if (!claimed) {
+  }
+
+  async #claim(position: StoredPosition, storeId: string): Promise<void> {
+    const { clock, logger, longestUseMilliseconds } = this.#options;
+    const wasVacant = position.record.holder === null;
+    if (!(await this.#records.write(position, this.#ownRecord(storeId)))) {
       return;
     }
     const { index } = position.position;
@@ -231,7 +248,7 @@
     const stored = reading?.positions.find(({ position }) => position.index === index);
     if (!this.#tasks.stopped && stored !== undefined && this.#isOwn(stored.record)) {
       this.#held.delete(index);
-      await this.#records.write(stored, vacantRecord());
+      await this.#records.write(stored, vacantRecord(reading?.storeId ?? ''));
     }
     this.#givingUp.delete(index);
   }
@@ -243,8 +260,8 @@
   }
 
   /** Vacant, left by an earlier self, or its own by a write whose reply was lost. */
-  #isClaimable({ position, record }: StoredPosition): boolean {
-    if (this.#held.has(position.index)) {
+  #isClaimable({ position, record, isDoubtful }: StoredPosition): boolean {
+    if (this.#held.has(position.index) || isDoubtful) {
       return false;
     }
     return record.holder === null || this.#isEarlierSelf(record) || this.#isOwn(record);
@@ -260,6 +277,11 @@
     );
   }
 
+  #ownRecord(storeId: string): PositionRecord {
+    const { id, incarnation, controlAddress } = this.#options.membership.self;
+    return { holder: { id, incarnation, controlAddress }, noticeBy: null, storeId };
+  }
+
   #isOwn(record: PositionRecord): boolean {
     return holderKey(record) === memberKey(this.#options.membership.self);
   }
--- a/packages/control/src/allotments/position-reclaimer.ts
+++ b/packages/control/src/allotments/position-reclaimer.ts
@@ -61,18 +61,19 @@
   }
 
   /** Goes on with what the records call for. */
-  async round({ positions, askedAt }: PositionReading): Promise<void> {
+  async round({ positions, askedAt, storeId }: PositionReading): Promise<void> {
     this.#reviewPromises(positions, askedAt);
     const { membership } = this.#options;
     const alive = new Set(membership.knownMembers().map(memberKey));
     for (const position of positions) {
       const { index } = position.position;
       const holder = holderKey(position.record);
-      if (holder === undefined || alive.has(holder)) {
+      const isHeldOrVacant = holder === undefined || alive.has(holder);
+      if (isHeldOrVacant && !position.isDoubtful) {
         this.#reclaims.delete(index);
         this.#missingSince.delete(index);
       } else if (this.#isLongMissing(index)) {
-        await this.#reclaim(position, holder, alive);
+        await this.#reclaim(position, holder ?? '', alive, storeId);
       }
     }
   }
@@ -103,6 +104,7 @@
     position: StoredPosition,
     holder: string,
     alive: ReadonlySet<string>,
+    storeId: string,
   ): Promise<void> {
     const { clock, records, longestUseMilliseconds } = this.#options;
     const { index } = position.position;
@@ -128,7 +130,7 @@
     const waited = clock.now() - reclaim.lastPromiseAt;
     if (waited >= RECLAIM_MILLISECONDS + longestUseMilliseconds()) {
       this.#reclaims.delete(index);
-      await records.write(position, vacantRecord());
+      await records.write(position, vacantRecord(storeId));
     }
   }
 
--- a/packages/control/src/allotments/position-record.ts
+++ b/packages/control/src/allotments/position-record.ts
@@ -1,4 +1,4 @@
-import type { StoredValue } from '@ferrylock/platform';
+import type { StoreListing } from '@ferrylock/platform';
 import { z } from 'zod';
 import { memberKey } from '../membership/member.js';
 import type { Position } from './position-layout.js';
@@ -17,6 +17,8 @@
   holder: holderSchema.nullable(),
   /** Set by a daemon that takes the holder for dead and has begun to wait it out. */
   noticeBy: z.string().nullable(),
+  /** The store that the record was written to; see {@link StoredPosition.isDoubtful}. */
+  storeId: z.string(),
 });
 export type PositionRecord = z.infer<typeof positionRecordSchema>;
 
@@ -25,6 +27,11 @@
   readonly position: Position;
   readonly record: PositionRecord;
   readonly revision: number;
+  /**
+   * Set where the store was put back from a backup since the record was written: another daemon may
+   * hold the position by a record that is lost.
+   */
+  readonly isDoubtful: boolean;
 }
 
 export function positionKey({ group, index }: Position): string {
@@ -39,15 +46,17 @@
 /** The records of the given positions; one that was never written is vacant. */
 export function readPositions(
   positions: readonly Position[],
-  values: readonly StoredValue[],
+  { values, storeId }: StoreListing,
 ): StoredPosition[] {
   const byKey = new Map(values.map((value) => [value.key, value]));
   return positions.map((position) => {
     const stored = byKey.get(positionKey(position));
+    const record = parseRecord(stored?.value) ?? vacantRecord(storeId);
     return {
       position,
-      record: parseRecord(stored?.value) ?? { holder: null, noticeBy: null },
+      record,
       revision: stored?.revision ?? 0,
+      isDoubtful: record.storeId !== storeId,
     };
   });
 }
@@ -66,6 +75,6 @@
 }
 
 /** A record that anyone may claim. */
-export function vacantRecord(): PositionRecord {
-  return { holder: null, noticeBy: null };
+export function vacantRecord(storeId: string): PositionRecord {
+  return { holder: null, noticeBy: null, storeId };
 }
--- a/packages/control/src/allotments/position-store.ts
+++ b/packages/control/src/allotments/position-store.ts
@@ -22,6 +22,7 @@
   readonly positions: readonly StoredPosition[];
   /** Clock reading from before the records were asked for. */
   readonly askedAt: number;
+  readonly storeId: string;
 }
 
 /** The records of one group's positions in the platform's key-value service. */
@@ -57,7 +58,11 @@
     const listing = await this.#options.store.list(prefix);
     return listing.isErr()
       ? undefined
-      : { positions: readPositions(this.#group, listing.value.values), askedAt };
+      : {
+          positions: readPositions(this.#group, listing.value),
+          storeId: listing.value.storeId,
+          askedAt,
+        };
   }
 
   /** Writes a record if it has not changed since it was read; says whether it surely was written. */
--- a/packages/control/src/allotments/rate-shares.ts
+++ b/packages/control/src/allotments/rate-shares.ts
@@ -44,6 +44,8 @@
   readonly #options: RateSharesOptions;
   readonly #tasks: BackgroundTasks;
   readonly #active = new Map<string, ActiveLimit>();
+  /** Whether the rounds are under way; they rest while no limit is in use. */
+  #running = false;
   #loanCount = 0;
 
   constructor(options: RateSharesOptions) {
@@ -59,10 +61,6 @@
     });
   }
 
-  start(): void {
-    this.#tasks.start('rate shares', (signal) => this.#run(signal));
-  }
-
   async stop(): Promise<void> {
     await this.#tasks.stop();
   }
@@ -90,15 +88,20 @@
       emptyUntil: new Map(),
     };
     this.#active.set(limit, created);
+    if (!this.#running && !this.#tasks.stopped) {
+      this.#running = true;
+      this.#tasks.start('rate shares', (signal) => this.#run(signal));
+    }
     return created;
   }
 
   async #run(signal: AbortSignal): Promise<void> {
     const { clock, random } = this.#options;
-    while (!signal.aborted) {
+    while (!signal.aborted && this.#active.size > 0) {
       await Promise.all([...this.#active].map(([limit, active]) => this.#round(limit, active)));
       await clock.sleep(jittered(random, ROUND_MILLISECONDS), signal);
     }
+    this.#running = false;
   }
 
   async #round(limit: string, active: ActiveLimit): Promise<void> {
--- a/packages/control/src/configuration/configuration-sync.ts
+++ b/packages/control/src/configuration/configuration-sync.ts
@@ -57,6 +57,7 @@
   #currentAt = -Infinity;
   #storeReadAt = -Infinity;
   #seenRevision = 0;
+  #seenStoreId = '';
   #watching = false;
 
   constructor(options: ConfigurationSyncOptions) {
@@ -186,11 +187,15 @@
 
   async #runWatch(signal: AbortSignal): Promise<void> {
     const { clock, random } = this.#options;
-    while (!signal.aborted) {
+    for (;;) {
+      // First a pause: whoever starts gets to know its neighbours before it takes itself for chosen.
+      await clock.sleep(jittered(random, WATCH_PAUSE_MILLISECONDS), signal);
+      if (signal.aborted) {
+        return;
+      }
       if (this.#shouldWatch()) {
         await this.#watchOnce(signal);
       }
-      await clock.sleep(jittered(random, WATCH_PAUSE_MILLISECONDS), signal);
     }
   }
 
@@ -201,7 +206,9 @@
     const candidates = membership.members.running().filter(isServing);
     const watchers = rendezvousRank('watch', candidates, memberKey).slice(0, WATCHERS_PER_DOMAIN);
     const chosen = watchers.some((member) => memberKey(member) === memberKey(self));
-    return chosen || this.ageMilliseconds > SELF_WATCH_MILLISECONDS;
+    const sinceStart = this.#options.clock.now() - this.#startedAt;
+    const unconfirmed = Math.min(this.ageMilliseconds, sinceStart);
+    return chosen || unconfirmed > SELF_WATCH_MILLISECONDS;
   }
 
   async #watchOnce(signal: AbortSignal): Promise<void> {
@@ -239,11 +246,13 @@
    */
   async #catchUp(): Promise<StoreFailure | undefined> {
     const { store } = this.#options;
-    const revision = await store.revision();
-    if (revision.isErr()) {
-      return revision.error;
+    const state = await store.state();
+    if (state.isErr()) {
+      return state.error;
     }
-    if (this.#seenRevision > 0 && revision.value >= this.#seenRevision) {
+    const { storeId, revision } = state.value;
+    const isSameStore = storeId === this.#seenStoreId;
+    if (isSameStore && this.#seenRevision > 0 && revision >= this.#seenRevision) {
       return undefined;
     }
     const listing = await store.list(CONFIGURATION_PREFIX);
@@ -252,6 +261,7 @@
     }
     await this.#takeListing(listing.value);
     this.#seenRevision = listing.value.revision;
+    this.#seenStoreId = listing.value.storeId;
     return undefined;
   }
 
@@ -276,11 +286,11 @@
     const due = new AbortController();
     const until = clock.now() + jittered(random, WATCH_RENEWAL_MILLISECONDS);
     this.#tasks.start('configuration watch renewal', async () => {
-      while (clock.now() < until && this.#watching && !signal.aborted) {
+      while (clock.now() < until && this.#shouldWatch() && this.#watching && !signal.aborted) {
         await clock.sleep(jittered(random, SIGN_OF_LIFE_MILLISECONDS), signal);
         const askedAt = clock.now();
-        const revision = await store.revision();
-        if (revision.isOk() && this.watching) {
+        const state = await store.state();
+        if (state.isOk() && this.watching) {
           this.#currentAt = Math.max(this.#currentAt, askedAt);
         }
       }
--- a/packages/control/src/membership/domain-table.ts
+++ b/packages/control/src/membership/domain-table.ts
@@ -9,14 +9,21 @@
 import type { Member } from './member.js';
 import { isServing, memberKey } from './member.js';
 
-/** How long a contact that did not answer is passed over. */
-const UNREACHABLE_MILLISECONDS = 10_000;
+/**
+ * How long a contact that did not answer is passed over. The domain's daemons together try it again
+ * well before that, so that a dead one does not come back into sight.
+ */
+const UNREACHABLE_MILLISECONDS = 60_000;
+/** Unreachable contacts named in one message, the latest first. */
+const MAXIMUM_UNREACHABLE_TOLD = 16;
 
 /** What one daemon knows of all failure domains, its own included. */
 export class DomainTable {
   readonly #summaries = new Map<string, DomainSummary>();
   /** When contacts were last found not to answer. */
   readonly #unreachableAt = new Map<string, number>();
+  /** When contacts were last found to answer. */
+  readonly #reachedAt = new Map<string, number>();
   #digest = digestOfSummaries([]);
   /** Counts what has been learned, so that a view made of the contacts can be kept until it changes. */
   changes = 0;
@@ -36,10 +43,12 @@
 
   /** Contacts in other domains that answered when last tried. */
   reachableContacts(): Member[] {
-    return this.summaries()
-      .filter((summary) => summary.failureDomain !== this.ownDomain)
-      .flatMap((summary) => summary.contacts)
-      .filter((contact) => isServing(contact) && !this.#isUnreachable(memberKey(contact)));
+    return this.#contacts().filter((contact) => !this.#isUnreachable(memberKey(contact)));
+  }
+
+  /** Contacts in other domains that did not answer when last tried. */
+  unreachableContacts(): Member[] {
+    return this.#contacts().filter((contact) => this.#isUnreachable(memberKey(contact)));
   }
 
   merge(update: DomainSummary): void {
@@ -70,11 +79,15 @@
 
   markUnreachable(key: string, ageMilliseconds = 0): void {
     const at = this.clock.now() - ageMilliseconds;
+    if (at <= (this.#reachedAt.get(key) ?? -Infinity)) {
+      return;
+    }
     this.changes++;
     this.#unreachableAt.set(key, Math.max(at, this.#unreachableAt.get(key) ?? -Infinity));
   }
 
   markReachable(key: string): void {
+    this.#reachedAt.set(key, this.clock.now());
     if (this.#unreachableAt.delete(key)) {
       this.changes++;
     }
@@ -93,7 +106,15 @@
         recent.push({ key, ageMilliseconds });
       }
     }
-    return recent;
+    recent.sort((a, b) => a.ageMilliseconds - b.ageMilliseconds);
+    return recent.slice(0, MAXIMUM_UNREACHABLE_TOLD);
+  }
+
+  #contacts(): Member[] {
+    return this.summaries()
+      .filter((summary) => summary.failureDomain !== this.ownDomain)
+      .flatMap((summary) => summary.contacts)
+      .filter(isServing);
   }
 
   #isUnreachable(key: string): boolean {
@@ -103,7 +124,19 @@
 
   #set(summary: DomainSummary): void {
     this.changes++;
+    this.#forgetFormerContacts(summary);
     this.#summaries.set(summary.failureDomain, summary);
     this.#digest = digestOfSummaries(this.#summaries.values());
   }
+
+  #forgetFormerContacts(next: DomainSummary): void {
+    const kept = new Set(next.contacts.map(memberKey));
+    for (const contact of this.#summaries.get(next.failureDomain)?.contacts ?? []) {
+      const key = memberKey(contact);
+      if (!kept.has(key)) {
+        this.#unreachableAt.delete(key);
+        this.#reachedAt.delete(key);
+      }
+    }
+  }
 }
--- a/packages/control/src/membership/membership.ts
+++ b/packages/control/src/membership/membership.ts
@@ -11,6 +11,8 @@
 import { MemberTable } from './member-table.js';
 
 const DEFAULT_HEARTBEAT_MILLISECONDS = 1_000;
+/** Share of heartbeats to other domains that try a contact again that did not answer. */
+const RETRY_SHARE = 0.25;
 /** Peers asked to try for themselves before a silent one becomes suspect. */
 const INDIRECT_PROBES = 2;
 /** Heartbeats that a suspect has time to refute in, over the logarithm of the members. */
@@ -202,14 +204,8 @@
   }
 
   async #heartbeatOtherDomain(): Promise<void> {
-    const { random } = this.#options;
-    const contact =
-      pickOne(random, this.domains.reachableContacts()) ??
-      pickOne(
-        random,
-        this.domains.summaries().flatMap((summary) => summary.contacts),
-      );
-    if (contact === undefined || contact.failureDomain === this.self.failureDomain) {
+    const contact = this.#nextContact();
+    if (contact === undefined) {
       return;
     }
     if (!(await this.#heartbeat(contact.controlAddress, false))) {
@@ -217,6 +213,16 @@
     }
   }
 
+  /** Mostly one that answers, now and then one that did not, to find out when it is back. */
+  #nextContact(): Member | undefined {
+    const { random } = this.#options;
+    const reachable = this.domains.reachableContacts();
+    const unreachable = this.domains.unreachableContacts();
+    const tryAgain = reachable.length === 0 || random.next() < RETRY_SHARE;
+    const preferred = tryAgain && unreachable.length > 0 ? unreachable : reachable;
+    return pickOne(random, preferred);
+  }
+
   /** Each peer once in random order before any comes again, so that none waits long. */
   #nextPeer(): Member | undefined {
     for (;;) {
--- /dev/null
+++ b/packages/control/tests/configuration/configuration-sync.test.ts
@@ -0,0 +1,147 @@
+import { ControlFleet } from '@ferrylock/test-utils';
+import type { ControlNode } from '@ferrylock/test-utils';
+import { describe, expect, it } from 'vitest';
+
+const FLEET = { domains: 3, hostsPerDomain: 4 };
+
+async function change(fleet: ControlFleet, node: ControlNode, basedOn: number): Promise<boolean> {
+  const outcome = node.configuration.apply(
+    { account: 'atec', changeId: `change-${basedOn}`, basedOn, author: 'op', kind: 'apply' },
+    ControlFleet.declaration('atec', basedOn % 10),
+  );
+  await fleet.clock.advance(20);
+  return (await outcome).isOk();
+}
+
+function generations(fleet: ControlFleet): number[] {
+  return [...new Set(fleet.nodes.map((node) => node.replica.generation('atec')))];
+}
+
+/** Advances until every daemon holds the generation; returns the time that took, or undefined. */
+async function timeUntilInForce(
+  fleet: ControlFleet,
+  generation: number,
+  atMost: number,
+): Promise<number | undefined> {
+  const startedAt = fleet.clock.now();
+  while (fleet.clock.now() - startedAt < atMost) {
+    if (generations(fleet).join() === String(generation)) {
+      return fleet.clock.now() - startedAt;
+    }
+    await fleet.clock.advance(20);
+  }
+  return undefined;
+}
+
+describe('ConfigurationSync', () => {
+  it('brings a change to every daemon within a second, by two watchers a domain', async () => {
+    const fleet = await ControlFleet.start(FLEET);
+    expect(fleet.engine.watcherCount).toBe(6);
+    expect(await change(fleet, fleet.node(5), 0)).toBe(true);
+    expect(await timeUntilInForce(fleet, 1, 1_000)).toBeDefined();
+    fleet.stop();
+  });
+
+  it('brings it within 3 s when a tenth of all messages is lost or comes twice', async () => {
+    const fleet = await ControlFleet.start(FLEET);
+    fleet.network.faults.lossShare = 0.1;
+    fleet.network.faults.duplicateShare = 0.1;
+    for (let basedOn = 0; basedOn < 5; basedOn++) {
+      expect(await change(fleet, fleet.node(0), basedOn)).toBe(true);
+      expect(await timeUntilInForce(fleet, basedOn + 1, 3_000)).toBeDefined();
+    }
+    fleet.stop();
+  });
+
+  it('replaces watchers that die, and lets no second one too many stay', async () => {
+    const fleet = await ControlFleet.start(FLEET);
+    fleet.nodes
+      .filter((node) => node.sync.watching && node.membership.self.failureDomain === 'domain-1')
+      .forEach((node) => {
+        fleet.kill(node);
+      });
+    await fleet.clock.advance(30_000);
+    const watching = fleet.nodes.filter((node) => node.sync.watching);
+    expect(watching).toHaveLength(6);
+    expect(await change(fleet, fleet.node(0), 0)).toBe(true);
+    expect(await timeUntilInForce(fleet, 1, 1_000)).toBeDefined();
+    fleet.stop();
+  });
+
+  it('lets a host that starts with the store down learn from its peers', async () => {
+    const fleet = await ControlFleet.start(FLEET);
+    await change(fleet, fleet.node(0), 0);
+    await fleet.clock.advance(2_000);
+    fleet.engine.setDown(true);
+    const [victim] = fleet.nodes;
+    if (victim !== undefined) {
+      fleet.kill(victim);
+    }
+    const started = fleet.startHost(0);
+    expect(started.sync.ready).toBe(false);
+    await fleet.clock.advance(5_000);
+    expect(started.sync.ready).toBe(true);
+    expect(started.replica.generation('atec')).toBe(1);
+    fleet.stop();
+  });
+
+  it('does not serve on nothing: with neither store nor peers it is never ready', async () => {
+    const fleet = await ControlFleet.start({ domains: 1, hostsPerDomain: 1 }, 0);
+    fleet.engine.setDown(true);
+    await fleet.clock.advance(60_000);
+    expect(fleet.node(0).sync.ready).toBe(false);
+    fleet.stop();
+  });
+
+  it('keeps the newer configuration when the store comes back older, and gives it back', async () => {
+    const fleet = await ControlFleet.start(FLEET);
+    await change(fleet, fleet.node(0), 0);
+    const backup = fleet.engine.backUp();
+    await change(fleet, fleet.node(0), 1);
+    await fleet.clock.advance(1_000);
+    fleet.engine.restore(backup);
+    await fleet.clock.advance(10_000);
+    expect(generations(fleet)).toEqual([2]);
+    const stored = JSON.parse(fleet.engine.get('ferrylock/configuration/atec')?.value ?? '{}') as {
+      generation: number;
+    };
+    expect(stored.generation).toBe(2);
+    fleet.stop();
+  });
+
+  it('shows its age while the store is down, and serves on', async () => {
+    const fleet = await ControlFleet.start(FLEET);
+    await change(fleet, fleet.node(0), 0);
+    await fleet.clock.advance(5_000);
+    expect(Math.max(...fleet.nodes.map((node) => node.sync.ageMilliseconds))).toBeLessThan(10_000);
+    fleet.engine.setDown(true);
+    await fleet.clock.advance(60_000);
+    expect(Math.min(...fleet.nodes.map((node) => node.sync.ageMilliseconds))).toBeGreaterThan(
+      50_000,
+    );
+    expect(fleet.nodes.every((node) => node.sync.ready)).toBe(true);
+    fleet.engine.setDown(false);
+    await fleet.clock.advance(30_000);
+    expect(Math.max(...fleet.nodes.map((node) => node.sync.ageMilliseconds))).toBeLessThan(15_000);
+    fleet.stop();
+  });
+
+  it('brings a domain that was cut off from all others up to date when it is back', async () => {
+    const fleet = await ControlFleet.start(FLEET);
+    const cutOff = fleet.nodes.filter((node) => node.membership.self.failureDomain === 'domain-3');
+    const inside = new Set(cutOff.map((node) => node.address));
+    fleet.network.setRule((from, to) => inside.has(from) === inside.has(to));
+    cutOff.forEach((node) => {
+      node.store.setCutOff(true);
+    });
+    await change(fleet, fleet.node(0), 0);
+    await fleet.clock.advance(60_000);
+    expect(cutOff.map((node) => node.replica.generation('atec'))).toEqual([0, 0, 0, 0]);
+    fleet.network.heal();
+    cutOff.forEach((node) => {
+      node.store.setCutOff(false);
+    });
+    expect(await timeUntilInForce(fleet, 1, 15_000)).toBeDefined();
+    fleet.stop();
+  });
+});
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -93,7 +93,6 @@
     components.membership.start();
     components.sync.start();
     components.positions.start();
-    components.rates.start();
     components.prober.start();
     this.#logger.info('daemon started', { addresses, incarnation: this.incarnation });
     return addresses;
--- a/packages/platform/src/etcd-schemas.ts
+++ b/packages/platform/src/etcd-schemas.ts
@@ -13,7 +13,10 @@
 });
 export type EtcdKeyValue = z.infer<typeof keyValueSchema>;
 
-const headerSchema = z.object({ revision: int64Schema });
+const headerSchema = z.object({
+  revision: int64Schema,
+  cluster_id: z.union([z.string(), z.number()]).transform(String).default(''),
+});
 
 export const rangeResponseSchema = z.object({
   header: headerSchema,
--- a/packages/platform/src/etcd-store.ts
+++ b/packages/platform/src/etcd-store.ts
@@ -19,14 +19,15 @@
   StoredValue,
   StoreFailure,
   StoreListing,
+  StoreState,
   Swap,
   SwapOutcome,
   WatchOptions,
 } from './key-value-store.js';
 
 const DEFAULT_TIMEOUT_MILLISECONDS = 2_000;
-/** A key that is never written: reading it brings back the store's revision and nothing else. */
-const REVISION_PROBE_KEY = 'ferrylock/revision-probe';
+/** A key that is never written: reading it brings back the store's state and nothing else. */
+const STATE_PROBE_KEY = 'ferrylock/state-probe';
 const CONNECTIONS_PER_ENDPOINT = 4;
 
 export interface EtcdStoreOptions {
@@ -61,16 +62,16 @@
       range_end: prefixRangeEnd(prefix),
     });
     return response.map((range) => ({
+      ...toState(range.header),
       values: range.kvs.map(toStoredValue),
-      revision: range.header.revision,
     }));
   }
 
-  async revision(): Promise<Result<number, StoreFailure>> {
+  async state(): Promise<Result<StoreState, StoreFailure>> {
     const response = await this.#call('/v3/kv/range', rangeResponseSchema, {
-      key: encodeText(REVISION_PROBE_KEY),
+      key: encodeText(STATE_PROBE_KEY),
     });
-    return response.map((range) => range.header.revision);
+    return response.map((range) => toState(range.header));
   }
 
   async compareAndSwap(swap: Swap): Promise<Result<SwapOutcome, StoreFailure>> {
@@ -164,6 +165,10 @@
   }
 }
 
+function toState(header: { revision: number; cluster_id: string }): StoreState {
+  return { storeId: header.cluster_id, revision: header.revision };
+}
+
 function toStoredValue(entry: EtcdKeyValue): StoredValue {
   return {
     key: decodeText(entry.key),
@@ -188,7 +193,6 @@
         compacted: (result?.compact_revision ?? 0) > 0,
       };
     }
-    options.onAlive?.();
     if (result.events.length > 0) {
       options.onEvents(result.events.map(toStoreEvent));
     }
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -9,6 +9,7 @@
   StoreEvent,
   StoreFailure,
   StoreListing,
+  StoreState,
   Swap,
   SwapOutcome,
   WatchOptions,
--- a/packages/platform/src/key-value-store.ts
+++ b/packages/platform/src/key-value-store.ts
@@ -39,19 +39,22 @@
   readonly revision: number;
 }
 
-export interface StoreListing {
-  readonly values: readonly StoredValue[];
-  /** The store's revision that the listing shows. */
+/** Which store it is, and how far it has come. */
+export interface StoreState {
+  /** Another one after the store was put back from a backup. */
+  readonly storeId: string;
   readonly revision: number;
 }
 
+export interface StoreListing extends StoreState {
+  readonly values: readonly StoredValue[];
+}
+
 export interface WatchOptions {
   readonly prefix: string;
   /** The first revision of interest: one past that of the listing before it. */
   readonly fromRevision: number;
   readonly signal: AbortSignal;
-  /** Called once the store has confirmed the watch, and again for each sign of life. */
-  readonly onAlive?: () => void;
   readonly onEvents: (events: readonly StoreEvent[]) => void;
 }
 
@@ -59,8 +62,8 @@
 export interface KeyValueStore {
   get(key: string): Promise<Result<StoredValue | undefined, StoreFailure>>;
   list(prefix: string): Promise<Result<StoreListing, StoreFailure>>;
-  /** The store's present revision: a cheap sign that the store answers. */
-  revision(): Promise<Result<number, StoreFailure>>;
+  /** The store's present state: a cheap sign that it answers. */
+  state(): Promise<Result<StoreState, StoreFailure>>;
   compareAndSwap(swap: Swap): Promise<Result<SwapOutcome, StoreFailure>>;
   /** Runs until the signal aborts or the watch is cut; the failure says which cut it was. */
   watch(options: WatchOptions): Promise<StoreFailure>;
--- a/packages/test-utils/src/etcd-stand-in.ts
+++ b/packages/test-utils/src/etcd-stand-in.ts
@@ -120,7 +120,8 @@
   }
 
   #header(): object {
-    return { revision: String(this.engine.revision) };
+    const { storeId, revision } = this.engine.state;
+    return { cluster_id: storeId, revision: String(revision) };
   }
 }
 
--- a/packages/test-utils/src/fake-store.ts
+++ b/packages/test-utils/src/fake-store.ts
@@ -3,6 +3,7 @@
   StoredValue,
   StoreFailure,
   StoreListing,
+  StoreState,
   Swap,
   SwapOutcome,
   WatchOptions,
@@ -11,6 +12,7 @@
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 import type { KeyValueEngine } from './key-value-engine.js';
+import { ProcessPause } from './process-pause.js';
 
 /** One daemon's way to a shared in-memory store, which can be cut for that daemon alone. */
 export class FakeStore implements KeyValueStore {
@@ -21,6 +23,7 @@
   constructor(
     readonly engine: KeyValueEngine,
     readonly clock: Clock,
+    readonly process = new ProcessPause(),
   ) {}
 
   /** Cuts this daemon off, its watches included, or connects it again. */
@@ -41,8 +44,8 @@
     return this.#read(() => this.engine.list(prefix));
   }
 
-  async revision(): Promise<Result<number, StoreFailure>> {
-    return this.#read(() => this.engine.revision);
+  async state(): Promise<Result<StoreState, StoreFailure>> {
+    return this.#read(() => this.engine.state);
   }
 
   async compareAndSwap(swap: Swap): Promise<Result<SwapOutcome, StoreFailure>> {
@@ -52,6 +55,7 @@
       return Err({ message: 'store is down', mayHaveTakenEffect: false });
     }
     const outcome = this.engine.compareAndSwap(swap);
+    await this.process.wait();
     if (this.engine.faults.loseWriteReplies) {
       return Err({ message: 'reply lost', mayHaveTakenEffect: true });
     }
@@ -76,8 +80,9 @@
         options.prefix,
         options.fromRevision,
         (events) => {
-          options.onAlive?.();
-          options.onEvents(events);
+          void this.process.wait().then(() => {
+            options.onEvents(events);
+          });
         },
         cut,
       );
@@ -89,16 +94,17 @@
         },
         { once: true },
       );
-      options.onAlive?.();
     });
   }
 
   async #read<T>(read: () => T): Promise<Result<T, StoreFailure>> {
     this.engine.calls.reads++;
     await this.#delay();
-    return this.#unreachable()
+    const answer = this.#unreachable() ? undefined : { value: read() };
+    await this.process.wait();
+    return answer === undefined
       ? Err({ message: 'store is down', mayHaveTakenEffect: false })
-      : Ok(read());
+      : Ok(answer.value);
   }
 
   async #delay(): Promise<void> {
--- a/packages/test-utils/src/index.ts
+++ b/packages/test-utils/src/index.ts
@@ -8,3 +8,8 @@
 export type { AccountSize, ServiceSize, TargetLocator } from './skovlund-and-atec.js';
 export { TargetStandIn } from './target-stand-in.js';
 export type { TargetBehaviour, TargetStandInOptions } from './target-stand-in.js';
+export { ControlFleet } from './control-fleet.js';
+export type { ControlFleetOptions, ControlNode } from './control-fleet.js';
+export { MemoryNetwork } from './memory-network.js';
+export type { NetworkCounts, NetworkFaults } from './memory-network.js';
+export { PausableClock, ProcessPause } from './process-pause.js';
--- a/packages/test-utils/src/key-value-engine.ts
+++ b/packages/test-utils/src/key-value-engine.ts
@@ -1,4 +1,11 @@
-import type { StoredValue, StoreEvent, StoreListing, Swap, SwapOutcome } from '@ferrylock/platform';
+import type {
+  StoredValue,
+  StoreEvent,
+  StoreListing,
+  StoreState,
+  Swap,
+  SwapOutcome,
+} from '@ferrylock/platform';
 
 type EventListener = (events: readonly StoreEvent[]) => void;
 
@@ -18,6 +25,12 @@
   loseWriteReplies: boolean;
 }
 
+/** A key-value stand-in's state at one time. */
+export interface StoreBackup {
+  readonly values: ReadonlyMap<string, StoredValue>;
+  readonly revision: number;
+}
+
 /** Calls that reached a key-value stand-in. */
 export interface StoreCallCounts {
   reads: number;
@@ -33,9 +46,10 @@
   #events: StoreEvent[] = [];
   readonly #watchers = new Set<Watcher>();
   #revision = 1;
+  #storeId = 1;
 
-  get revision(): number {
-    return this.#revision;
+  get state(): StoreState {
+    return { storeId: String(this.#storeId), revision: this.#revision };
   }
 
   get watcherCount(): number {
@@ -49,7 +63,7 @@
   list(prefix: string): StoreListing {
     const values = [...this.#values.values()].filter((value) => value.key.startsWith(prefix));
     values.sort((a, b) => (a.key < b.key ? -1 : 1));
-    return { values, revision: this.#revision };
+    return { ...this.state, values };
   }
 
   compareAndSwap(swap: Swap): SwapOutcome {
@@ -98,14 +112,16 @@
     }
   }
 
-  /** A copy of all values, to be put back later as from an old backup. */
-  snapshot(): ReadonlyMap<string, StoredValue> {
-    return new Map(this.#values);
+  /** A copy of the whole state, to be put back later. */
+  backUp(): StoreBackup {
+    return { values: new Map(this.#values), revision: this.#revision };
   }
 
-  /** Puts an earlier state back, as an operator who restores a backup would. */
-  restore(values: ReadonlyMap<string, StoredValue>): void {
+  /** Puts an earlier state back; as with etcd, the store is then another one. */
+  restore({ values, revision }: StoreBackup): void {
     this.#values = new Map(values);
+    this.#revision = revision;
+    this.#storeId++;
     this.#events = [];
     this.cutWatches();
   }
