--- /dev/null
+++ b/packages/bench/src/benches.ts
@@ -0,0 +1,6 @@
+import { lookup } from './benches/lookup.js';
+import { proxy } from './benches/proxy.js';
+import type { Bench } from './report.js';
+
+/** Every bench by its name on the command line. */
+export const benches: Readonly<Record<string, Bench>> = { lookup, proxy };
--- a/packages/control/src/allotments/limit-register.ts
+++ b/packages/control/src/allotments/limit-register.ts
@@ -1,13 +1,20 @@
 import type { DividedLimit, Position } from './position-layout.js';
 import { divideLimit } from './position-layout.js';
 
+interface Division {
+  readonly parts: ReadonlyMap<number, number>;
+  /** The list of positions that the sum was made for; the same list is asked for many times. */
+  summedFor: readonly number[] | undefined;
+  sum: number;
+}
+
 /**
  * Every divided limit of the configuration in force. A limit's division is worked out when it is
  * first asked for, since most daemons use few of them.
  */
 export class LimitRegister {
   readonly #limits = new Map<string, DividedLimit>();
-  readonly #parts = new Map<string, ReadonlyMap<number, number>>();
+  readonly #divisions = new Map<string, Division>();
   #positions: readonly Position[] = [];
 
   get positions(): readonly Position[] {
@@ -16,7 +23,7 @@
 
   setPositions(positions: readonly Position[]): void {
     this.#positions = positions;
-    this.#parts.clear();
+    this.#divisions.clear();
   }
 
   /** Puts an account's limits in place of those it had before. */
@@ -24,7 +31,7 @@
     for (const key of [...this.#limits.keys()]) {
       if (accountOf(key) === account) {
         this.#limits.delete(key);
-        this.#parts.delete(key);
+        this.#divisions.delete(key);
       }
     }
     for (const limit of limits) {
@@ -37,24 +44,26 @@
   }
 
   /** Units of a limit that belong to the given positions. */
-  unitsOf(key: string, positions: Iterable<number>): number {
-    const parts = this.#partsOf(key);
-    let units = 0;
-    for (const position of positions) {
-      units += parts.get(position) ?? 0;
+  unitsOf(key: string, positions: readonly number[]): number {
+    const division = this.#divisionOf(key);
+    if (division.summedFor !== positions) {
+      division.summedFor = positions;
+      division.sum = positions.reduce((sum, index) => sum + (division.parts.get(index) ?? 0), 0);
     }
-    return units;
+    return division.sum;
   }
 
-  #partsOf(key: string): ReadonlyMap<number, number> {
-    const known = this.#parts.get(key);
+  #divisionOf(key: string): Division {
+    const known = this.#divisions.get(key);
     if (known !== undefined) {
       return known;
     }
     const limit = this.#limits.get(key);
-    const parts = limit === undefined ? new Map() : divideLimit(limit, this.#positions);
-    this.#parts.set(key, parts);
-    return parts;
+    const parts =
+      limit === undefined ? new Map<number, number>() : divideLimit(limit, this.#positions);
+    const division = { parts, summedFor: undefined, sum: 0 };
+    this.#divisions.set(key, division);
+    return division;
   }
 }
 
--- a/packages/control/src/allotments/position-holder.ts
+++ b/packages/control/src/allotments/position-holder.ts
@@ -61,6 +61,9 @@
   readonly #held = new Map<number, HeldPosition>();
   /** Positions that are being given up: no longer used, not yet vacant in the store. */
   readonly #givingUp = new Set<number>();
+  /** Positions held and in use, made anew only when they change: they are asked for at each request. */
+  #positions: readonly number[] = [];
+  #allUsableFrom = 0;
   #stopping = false;
 
   constructor(options: PositionHolderOptions) {
@@ -76,19 +79,16 @@
   }
 
   /** Positions held and in use. */
-  get positions(): number[] {
-    return [...this.#held.keys()].filter((index) => !this.#givingUp.has(index));
+  get positions(): readonly number[] {
+    return this.#positions;
   }
 
   /** Units of a limit that are this daemon's own at this very moment. */
   ownedUnits(limit: string): number {
-    const now = this.#options.clock.now();
-    const positions = this.positions;
-    if (!this.fence.isValid(positions)) {
+    if (!this.fence.isValid(this.#positions)) {
       return 0;
     }
-    const usable = positions.filter((index) => (this.#held.get(index)?.usableFrom ?? 0) <= now);
-    return this.#options.register.unitsOf(limit, usable);
+    return this.#options.register.unitsOf(limit, this.#usablePositions());
   }
 
   register(router: PeerRouter): void {
@@ -118,6 +118,7 @@
     const { positions, storeId } = reading;
     const own = positions.filter(({ record }) => this.#isOwn(record));
     this.#held.clear();
+    this.#heldChanged();
     await Promise.all(own.map((position) => this.#records.write(position, vacantRecord(storeId))));
   }
 
@@ -178,6 +179,7 @@
       }
       if (!this.#isOwn(position.record) && !position.isDoubtful) {
         this.#held.delete(index);
+        this.#heldChanged();
         this.#options.logger.warn('position lost', { position: index });
       } else if (position.record.noticeBy !== null || position.isDoubtful) {
         const answered = await this.#records.write(position, this.#ownRecord(storeId));
@@ -231,6 +233,7 @@
     // What the holder before had lent out may still be in use by its borrowers.
     const wait = wasVacant ? 0 : longestUseMilliseconds();
     this.#held.set(index, { usableFrom: clock.now() + wait });
+    this.#heldChanged();
     logger.info('position taken', { position: index, wasVacant });
   }
 
@@ -241,6 +244,7 @@
   async #giveUp(index: number): Promise<void> {
     const { clock, usageFits } = this.#options;
     this.#givingUp.add(index);
+    this.#heldChanged();
     while (!usageFits() && !this.#tasks.stopped) {
       await clock.sleep(GIVE_UP_CHECK_MILLISECONDS, this.#tasks.signal);
     }
@@ -248,15 +252,31 @@
     const stored = reading?.positions.find(({ position }) => position.index === index);
     if (!this.#tasks.stopped && stored !== undefined && this.#isOwn(stored.record)) {
       this.#held.delete(index);
+      this.#heldChanged();
       await this.#records.write(stored, vacantRecord(reading?.storeId ?? ''));
     }
     this.#givingUp.delete(index);
+    this.#heldChanged();
   }
 
   /** Only a daemon whose own positions are valid may bear witness, or promise not to. */
   #vouchingPositions(): number[] {
-    const positions = this.positions;
-    return !this.#stopping && this.fence.isValid(positions) ? positions : [];
+    return !this.#stopping && this.fence.isValid(this.#positions) ? [...this.#positions] : [];
+  }
+
+  /** Positions whose loans by an earlier holder are over. */
+  #usablePositions(): readonly number[] {
+    const now = this.#options.clock.now();
+    if (now >= this.#allUsableFrom) {
+      return this.#positions;
+    }
+    return this.#positions.filter((index) => (this.#held.get(index)?.usableFrom ?? 0) <= now);
+  }
+
+  /** Works out anew what follows from the positions held; called after each change of them. */
+  #heldChanged(): void {
+    this.#positions = [...this.#held.keys()].filter((index) => !this.#givingUp.has(index));
+    this.#allUsableFrom = Math.max(0, ...[...this.#held.values()].map((held) => held.usableFrom));
   }
 
   /** Vacant, left by an earlier self, or its own by a write whose reply was lost. */
--- a/packages/daemon/src/http/headers.ts
+++ b/packages/daemon/src/http/headers.ts
@@ -32,9 +32,12 @@
 const OWN_REQUEST_HEADERS = new Set([FORWARDED_HEADER, TIMEOUT_HEADER]);
 const OWN_RESPONSE_HEADERS = new Set([LOAD_REPORT_HEADER, LEAVING_HEADER, SHED_HEADER]);
 
-/** A request's headers as they go to the target. */
-export function requestHeaders(headers: IncomingHttpHeaders): Record<string, string | string[]> {
-  return passOn(headers, OWN_REQUEST_HEADERS);
+/** A request's headers as they go to the target, with those that ferrylock adds. */
+export function requestHeaders(
+  headers: IncomingHttpHeaders,
+  added: Readonly<Record<string, string>>,
+): Record<string, string | string[]> {
+  return Object.assign(passOn(headers, OWN_REQUEST_HEADERS), added);
 }
 
 /** A target's headers as they go to the caller. */
--- a/packages/daemon/src/http/traffic-server.ts
+++ b/packages/daemon/src/http/traffic-server.ts
@@ -192,7 +192,8 @@
 
 function sendRefusal(reply: FastifyReply, refusal: NotRun): FastifyReply {
   const { status, headers, body } = problemAnswer(refusal);
-  return reply.code(status).headers(headers).send(body);
+  // As bytes: fastify would add a charset to text, which the media type does not have.
+  return reply.code(status).headers(headers).send(Buffer.from(body));
 }
 
 /** Answers bytes that are no HTTP request, or whose headers are too long. */
--- a/packages/daemon/src/request/attempt.ts
+++ b/packages/daemon/src/request/attempt.ts
@@ -52,6 +52,8 @@
   #shed = false;
   #answering = false;
   #flow: FlowControl | undefined;
+  /** Bytes of the answer still to come; not a number where no length was declared. */
+  #remainingBytes = Number.NaN;
 
   constructor(options: AttemptOptions) {
     this.#options = options;
@@ -103,18 +105,23 @@
     }
     this.#answering = true;
     this.#flow = flow;
+    this.#remainingBytes = Number(headers['content-length'] ?? Number.NaN);
     response.writeHead(status, responseHeaders(headers));
-    response.on('drain', () => {
-      flow.resume();
-    });
   }
 
   data(chunk: Buffer): void {
     if (this.#shed) {
       return;
     }
-    if (!this.#options.response.write(chunk)) {
-      this.#flow?.pause();
+    const { response } = this.#options;
+    this.#remainingBytes -= chunk.length;
+    if (this.#remainingBytes === 0) {
+      // The last byte of the declared length: head, body and end leave in one write.
+      response.end(chunk);
+      return;
+    }
+    if (!response.write(chunk)) {
+      this.#pauseUntilDrained(response);
     }
   }
 
@@ -123,7 +130,10 @@
       this.#finish(notRun('target-shed', 'the target sheds load and has not run it', 1));
       return;
     }
-    this.#options.response.end();
+    const { response } = this.#options;
+    if (!response.writableEnded) {
+      response.end();
+    }
     this.#finish({ kind: 'answered', status: this.#status });
   }
 
@@ -135,6 +145,13 @@
     this.#finish(this.#verdictOn(error));
   }
 
+  #pauseUntilDrained(response: ServerResponse): void {
+    this.#flow?.pause();
+    response.once('drain', () => {
+      this.#flow?.resume();
+    });
+  }
+
   /** An answer whose end cannot be told from a cut, or that came before the whole upload had left. */
   #faultOf(status: number, headers: IncomingHttpHeaders): string | undefined {
     const { request, body, wholeUpload } = this.#options;
--- a/packages/daemon/src/request/exchange.ts
+++ b/packages/daemon/src/request/exchange.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Verdict } from '@ferrylock/steering';
+import type { Cancellation } from '@ferrylock/utils';
 import { REQUEST_ID_HEADER } from '../http/headers.js';
 import { problemAnswer } from '../http/problem.js';
 import type { ServiceRuntime } from '../services/service-runtime.js';
@@ -21,7 +22,7 @@
 /** The state of one exchange while it is under way. */
 export interface Progress extends Exchange {
   readonly deadlineAt: number;
-  readonly ended: AbortController;
+  readonly caller: Cancellation;
   attempt: Attempt | undefined;
   /** Ends the reading of a body when its time is over. */
   onDeadline: (() => void) | undefined;
@@ -37,10 +38,10 @@
 
 /** Cancels at the target what the caller no longer waits for. */
 export function watchCaller(progress: Progress): () => void {
-  const { response, ended } = progress;
+  const { response, caller } = progress;
   const onClose = (): void => {
     if (!response.writableFinished) {
-      ended.abort();
+      caller.cancel();
       progress.attempt?.abort('caller-gone');
     }
   };
--- a/packages/daemon/src/request/request-body.ts
+++ b/packages/daemon/src/request/request-body.ts
@@ -34,6 +34,14 @@
     readonly maximumBytes: number,
   ) {}
 
+  /** The body of a request that has none; undefined where there is one to be read. */
+  static without(request: IncomingMessage): Ok<RequestBody> | undefined {
+    const length = request.headers['content-length'];
+    const isChunked = request.headers['transfer-encoding'] !== undefined;
+    const isEmpty = !isChunked && (length === undefined || length === '0');
+    return isEmpty ? Ok(new RequestBody(request, null, false, 0)) : undefined;
+  }
+
   /** Reads a small body whole; of a large one nothing is read yet. */
   static async read(
     request: IncomingMessage,
@@ -45,9 +53,6 @@
     if (length > options.maximumBytes) {
       return Err(notRun('too-large', `the body is over ${options.maximumBytes} bytes`));
     }
-    if (!isChunked && length === 0) {
-      return Ok(new RequestBody(request, null, false, options.maximumBytes));
-    }
     if (isChunked || length > options.smallBytes) {
       return Ok(new RequestBody(request, null, true, options.maximumBytes));
     }
--- a/packages/daemon/src/request/request-path.ts
+++ b/packages/daemon/src/request/request-path.ts
@@ -1,6 +1,14 @@
 import type { Membership } from '@ferrylock/control';
-import type { NotRun, Place, RefusalReason, Target, Verdict } from '@ferrylock/steering';
+import type {
+  MayHaveRun,
+  NotRun,
+  Place,
+  RefusalReason,
+  Target,
+  Verdict,
+} from '@ferrylock/steering';
 import { BytePacer, mayHaveRun, notRun } from '@ferrylock/steering';
+import { Cancellation } from '@ferrylock/utils';
 import type { Clock, Logger } from '@ferrylock/utils';
 import { Err } from 'ts-results-es';
 import {
@@ -10,6 +18,7 @@
   requestHeaders,
   TIMEOUT_HEADER,
 } from '../http/headers.js';
+import type { ServiceRuntime } from '../services/service-runtime.js';
 import type { ServiceMetrics } from '../metrics/service-metrics.js';
 import { Attempt } from './attempt.js';
 import type { Exchange, Progress } from './exchange.js';
@@ -83,9 +92,13 @@
       return notRun('bad-request', `${TIMEOUT_HEADER}: expected a whole number of milliseconds`);
     }
     const progress: Progress = {
-      ...exchange,
+      request: exchange.request,
+      response: exchange.response,
+      service: exchange.service,
+      path: exchange.path,
+      requestId: exchange.requestId,
       deadlineAt: startedAt + Math.min(timeout, declaration.deadlineMilliseconds),
-      ended: new AbortController(),
+      caller: new Cancellation(),
       attempt: undefined,
       onDeadline: undefined,
     };
@@ -162,12 +175,11 @@
         address: holder.trafficAddress,
         method: request.method ?? 'GET',
         path: request.url ?? '/',
-        headers: {
-          ...requestHeaders(request.headers),
+        headers: requestHeaders(request.headers, {
           [FORWARDED_HEADER]: membership.self.id,
           [TIMEOUT_HEADER]: String(this.#remaining(progress)),
           [REQUEST_ID_HEADER]: progress.requestId,
-        },
+        }),
         body: read.value.forAttempt(undefined),
       },
     });
@@ -177,25 +189,35 @@
   }
 
   async #serveBody(progress: Progress): Promise<Verdict> {
-    const read = await this.#readBody(progress);
+    const read = RequestBody.without(progress.request) ?? (await this.#readBody(progress));
     if (read.isErr()) {
       return read.error;
     }
     const { service } = progress;
     const failed = new Set<Target>();
+    let mayHaveRunBefore: MayHaveRun | undefined;
     service.retries.recordRequest();
     for (let tries = 1; ; tries++) {
       const verdict = await this.#tryOnce(progress, read.value, failed);
+      if (verdict.kind === 'mayHaveRun') {
+        mayHaveRunBefore = verdict;
+      }
       const goOn =
         tries < MAXIMUM_ATTEMPTS &&
         this.#mayRetry(progress, read.value, verdict) &&
+        this.#hasOtherTarget(service, failed) &&
         service.retries.tryTake();
       if (!goOn) {
-        return verdict;
+        // A later try that was not run does not undo an earlier one that may have been.
+        return verdict.kind === 'notRun' ? (mayHaveRunBefore ?? verdict) : verdict;
       }
     }
   }
 
+  #hasOtherTarget(service: ServiceRuntime, failed: ReadonlySet<Target>): boolean {
+    return service.targets.open(this.#options.clock.now()).some((target) => !failed.has(target));
+  }
+
   /** Reads a small body, which a slow sender may not draw out beyond the deadline. */
   #readBody(progress: Progress): ReturnType<typeof RequestBody.read> {
     const read = RequestBody.read(progress.request, {
@@ -211,16 +233,16 @@
   }
 
   async #tryOnce(progress: Progress, body: RequestBody, failed: Set<Target>): Promise<Verdict> {
-    const { service, deadlineAt, ended } = progress;
+    const { service, deadlineAt, caller } = progress;
     const { entryPlace, clock } = this.#options;
-    service.targets.open(clock.now()).forEach((target) => {
-      if (!failed.has(target)) {
+    if (!service.links.isEmpty) {
+      for (const target of service.targets.open(clock.now())) {
         service.links.recordDemand(entryPlace, target.place);
       }
-    });
+    }
     const entered = await service.gate.enter({
       deadlineAt,
-      signal: ended.signal,
+      caller,
       accept: (target) => !failed.has(target) && service.links.hasRoom(entryPlace, target.place),
       onTaken: (target) => {
         service.links.takeRequest(entryPlace, target.place);
@@ -244,13 +266,12 @@
   #send(progress: Progress, body: RequestBody, target: Target): Promise<Verdict> {
     const { request, response, service } = progress;
     const { client, entryPlace, clock } = this.#options;
-    if (progress.ended.signal.aborted) {
+    if (progress.caller.isCancelled) {
       return Promise.resolve(notRun('caller-gone', 'the caller went away while waiting'));
     }
-    const pacer = new BytePacer(service.links.byteBuckets(entryPlace, target.place), clock);
-    const pace = pacer.isNeeded
-      ? (bytes: number) => pacer.pass(bytes, progress.ended.signal)
-      : undefined;
+    const buckets = service.links.byteBuckets(entryPlace, target.place);
+    const pacer = buckets.length > 0 ? new BytePacer(buckets, clock) : undefined;
+    const pace = pacer && ((bytes: number) => pacer.pass(bytes, progress.caller.signal));
     const attempt = new Attempt({
       client,
       body,
@@ -261,11 +282,10 @@
         address: target.address,
         method: request.method ?? 'GET',
         path: progress.path,
-        headers: {
-          ...requestHeaders(request.headers),
+        headers: requestHeaders(request.headers, {
           [TIMEOUT_HEADER]: String(this.#remaining(progress)),
           [REQUEST_ID_HEADER]: progress.requestId,
-        },
+        }),
         body: body.forAttempt(pace),
       },
     });
@@ -283,7 +303,7 @@
     if (verdict.kind === 'answered' || !body.canBeSent || progress.response.headersSent) {
       return false;
     }
-    if (this.#remaining(progress) <= 0 || progress.ended.signal.aborted) {
+    if (this.#remaining(progress) <= 0 || progress.caller.isCancelled) {
       return false;
     }
     const isFree = progress.service.declaration.repeat === 'free';
--- a/packages/daemon/src/services/service-runtime.ts
+++ b/packages/daemon/src/services/service-runtime.ts
@@ -1,7 +1,7 @@
 import type { AllotmentLedger, DividedLimit, SlotBorrower, SlotLoans } from '@ferrylock/control';
 import type { Declaration, Drain, ServiceDeclaration } from '@ferrylock/schema';
 import type { DistanceMap, LinkLimits, Place } from '@ferrylock/steering';
-import { RetryBudget, ServiceGate, SlotBook, TargetSet } from '@ferrylock/steering';
+import { RetryBudget, ServiceGate, slotLimitKey, SlotBook, TargetSet } from '@ferrylock/steering';
 import type { Clock, Random } from '@ferrylock/utils';
 
 export interface ServiceRuntimeOptions {
@@ -39,9 +39,9 @@
     this.#options = options;
     this.account = account;
     this.service = service;
-    this.targets = new TargetSet(service);
+    this.targets = new TargetSet(account, service);
     this.#book = new SlotBook(
-      { account, service, targets: this.targets, allotment: ledger, entryPlace, clock, random },
+      { targets: this.targets, allotment: ledger, entryPlace, clock, random },
       update.distances,
     );
     this.gate = new ServiceGate({
@@ -92,23 +92,21 @@
   /** The slots of each target as limits that all daemons divide between them. */
   slotLimits(): DividedLimit[] {
     return this.targets.all().map((target) => ({
-      key: this.limitKey(target.name),
+      key: target.limitKey,
       units: this.targets.slotsOf(target.name),
       place: target.place.region,
     }));
   }
 
   limitKey(target: string): string {
-    return this.#book.limitKey(target);
+    return slotLimitKey(this.account, this.service, target);
   }
 
   /** Whether no target has more of this daemon's work than slots that it may use now. */
   usageFits(): boolean {
     return this.targets
       .all()
-      .every(
-        (target) => target.inFlight <= this.#options.ledger.usable(this.limitKey(target.name)),
-      );
+      .every((target) => target.inFlight <= this.#options.ledger.usable(target.limitKey));
   }
 
   spareSlots(): readonly { readonly target: string; readonly units: number }[] {
--- a/packages/steering/src/admission/service-gate.ts
+++ b/packages/steering/src/admission/service-gate.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '@ferrylock/utils';
+import type { Cancellation, Clock } from '@ferrylock/utils';
 import { MovingAverage } from '@ferrylock/utils';
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
@@ -18,7 +18,7 @@
 export interface GateRequest {
   /** Clock reading by which the caller wants the whole answer. */
   readonly deadlineAt: number;
-  readonly signal: AbortSignal;
+  readonly caller: Cancellation;
   /** Whether the target may be taken now, apart from its slots. */
   readonly accept: (target: Target) => boolean;
   /** Called in the same turn in which the target is taken. */
@@ -71,15 +71,15 @@
 
   /** Resolves with a target whose slot is taken, or with the reason for which none will be. */
   enter(request: GateRequest): Promise<Result<Target, NotRun>> {
-    const refusal = this.#refusalOnEntry(request);
-    if (refusal !== undefined) {
-      return Promise.resolve(Err(refusal));
-    }
     const taken = this.#queue.length === 0 ? this.#tryTake(request) : undefined;
     if (taken !== undefined) {
       this.#queueTime.add(0);
       return Promise.resolve(Ok(taken));
     }
+    const refusal = this.#refusalOnEntry(request);
+    if (refusal !== undefined) {
+      return Promise.resolve(Err(refusal));
+    }
     return new Promise((resolve) => {
       const enteredAt = this.#options.clock.now();
       const waiting = { request, enteredAt, resolve, settled: new AbortController() };
@@ -139,14 +139,14 @@
   /** Refuses a waiting request as soon as it can no longer be done in time. */
   async #expire(waiting: Waiting): Promise<void> {
     const { clock } = this.#options;
-    const { deadlineAt, signal } = waiting.request;
+    const { deadlineAt, caller } = waiting.request;
     const latestStart = deadlineAt - (this.#serviceTime.value ?? 0);
-    const woken = AbortSignal.any([signal, waiting.settled.signal]);
+    const woken = AbortSignal.any([caller.signal, waiting.settled.signal]);
     await clock.sleep(Math.max(0, latestStart - clock.now()), woken);
     const place = this.#queue.indexOf(waiting);
     if (place >= 0) {
       this.#queue.splice(place, 1);
-      const refusal = signal.aborted
+      const refusal = caller.isCancelled
         ? notRun('caller-gone', 'the caller went away while waiting')
         : notRun('deadline', 'no slot came free in time', 1);
       waiting.resolve(Err(refusal));
--- a/packages/steering/src/limits/byte-pacer.ts
+++ b/packages/steering/src/limits/byte-pacer.ts
@@ -11,10 +11,6 @@
     readonly clock: Clock,
   ) {}
 
-  get isNeeded(): boolean {
-    return this.buckets.length > 0;
-  }
-
   /** Resolves when the bytes may pass, and counts them; at once when the signal aborts. */
   async pass(bytes: number, signal: AbortSignal): Promise<void> {
     for (const bucket of this.buckets) {
--- a/packages/steering/src/limits/link-limits.ts
+++ b/packages/steering/src/limits/link-limits.ts
@@ -48,6 +48,11 @@
     }));
   }
 
+  /** Whether the account has no caps on links at all. */
+  get isEmpty(): boolean {
+    return this.#links.length === 0;
+  }
+
   /** Whether one more request may pass now. */
   hasRoom(from: Place, to: Place): boolean {
     return this.#between(from, to).every((link) => link.requests?.has(1) ?? true);
--- a/packages/steering/src/lookup/client-block-table.ts
+++ b/packages/steering/src/lookup/client-block-table.ts
@@ -15,34 +15,56 @@
 /** Length of the part of an IPv6 address that is looked at: blocks are not finer than networks. */
 const IPV6_NETWORK_BITS = 64;
 const WORD_RANGE = 0x1_0000_0000;
+const IPV4_END = WORD_RANGE;
+const IPV6_END = 1n << 64n;
+const IPV4_NETWORK_SIZE = 65_536;
+const IPV4_NETWORKS = 65_536;
 
-interface Interval {
-  readonly start: bigint;
-  readonly end: bigint;
+interface Interval<Address extends number | bigint> {
+  readonly start: Address;
+  readonly end: Address;
   readonly value: number;
 }
 
+interface Range<Address extends number | bigint> {
+  readonly start: Address;
+  value: number;
+}
+
 /**
  * Longest-prefix match over client blocks. Nested blocks are flattened once into disjoint ranges,
- * held in typed arrays and found by binary search: 8 bytes a range for IPv4, 12 for IPv6. A table
- * never changes; a new one takes its place whole.
+ * held in typed arrays and found by binary search: 8 bytes a range for IPv4, 12 for IPv6, and an index
+ * of 256 KiB over the first half of an IPv4 address. A table never changes; a new one takes its place
+ * whole.
  */
 export class ClientBlockTable {
   readonly #starts4: Uint32Array;
   readonly #values4: Int32Array;
+  /** For each /16 network, the number of ranges that start before it: where its search begins. */
+  readonly #firstAfter4: Uint32Array;
   readonly #starts6High: Uint32Array;
   readonly #starts6Low: Uint32Array;
   readonly #values6: Int32Array;
 
   constructor(entries: readonly BlockEntry[]) {
-    const parsed = entries.flatMap((entry) => {
-      const block = parseClientBlock(entry.cidr);
-      return block.isOk() ? [{ block: block.value, value: entry.value }] : [];
-    });
-    const ranges4 = flatten(parsed.filter(({ block }) => block.version === 4).map(toInterval));
-    const ranges6 = flatten(parsed.filter(({ block }) => block.version === 6).map(toInterval));
-    this.#starts4 = Uint32Array.from(ranges4, (range) => Number(range.start));
+    const intervals4: Interval<number>[] = [];
+    const intervals6: Interval<bigint>[] = [];
+    for (const { cidr, value } of entries) {
+      const interval4 = parseIpv4Block(cidr, value);
+      if (interval4 !== undefined) {
+        intervals4.push(interval4);
+        continue;
+      }
+      const block = parseClientBlock(cidr);
+      if (block.isOk()) {
+        intervals6.push(toInterval6(block.value, value));
+      }
+    }
+    const ranges4 = flatten(intervals4, IPV4_END);
+    const ranges6 = flatten(intervals6, IPV6_END);
+    this.#starts4 = Uint32Array.from(ranges4, (range) => range.start);
     this.#values4 = Int32Array.from(ranges4, (range) => range.value);
+    this.#firstAfter4 = indexNetworks(this.#starts4);
     this.#starts6High = Uint32Array.from(ranges6, (range) => Number(range.start >> 32n));
     this.#starts6Low = Uint32Array.from(ranges6, (range) => Number(range.start & 0xffff_ffffn));
     this.#values6 = Int32Array.from(ranges6, (range) => range.value);
@@ -53,6 +75,7 @@
     return [
       this.#starts4,
       this.#values4,
+      this.#firstAfter4,
       this.#starts6High,
       this.#starts6Low,
       this.#values6,
@@ -65,7 +88,7 @@
     if (number4 >= 0) {
       return this.findIpv4(number4);
     }
-    if (!ipaddr.isValid(address)) {
+    if (!ipaddr.IPv6.isValid(address)) {
       return NO_BLOCK;
     }
     const parsed = ipaddr.process(address);
@@ -79,8 +102,9 @@
   /** Look-up by the 32-bit number of an IPv4 address. */
   findIpv4(address: number): number {
     const starts = this.#starts4;
-    let low = 0;
-    let high = starts.length;
+    const network = address >>> 16;
+    let low = this.#firstAfter4[network]!;
+    let high = this.#firstAfter4[network + 1]!;
     while (low < high) {
       const middle = (low + high) >>> 1;
       if (starts[middle]! <= address) {
@@ -142,24 +166,50 @@
   return word;
 }
 
-function toInterval({ block, value }: { block: ClientBlock; value: number }): Interval {
-  const bits = block.version === 4 ? 32 : IPV6_NETWORK_BITS;
-  const prefixLength = Math.min(block.prefixLength, bits);
-  const high = BigInt(wordAt(block.bytes, 0));
+/** Reads a block such as 192.0.2.0/24; undefined where it is none of IPv4. */
+function parseIpv4Block(cidr: string, value: number): Interval<number> | undefined {
+  const slash = cidr.indexOf('/');
+  const address = parseIpv4(cidr.slice(0, slash));
+  const prefixLength = Number(cidr.slice(slash + 1));
+  if (slash < 0 || address < 0 || !(prefixLength >= 0 && prefixLength <= 32)) {
+    return undefined;
+  }
+  const size = 2 ** (32 - prefixLength);
+  const start = address - (address % size);
+  return { start, end: start + size, value };
+}
+
+function toInterval6(block: ClientBlock, value: number): Interval<bigint> {
+  const prefixLength = Math.min(block.prefixLength, IPV6_NETWORK_BITS);
   const start =
-    block.version === 4 ? high : high * BigInt(WORD_RANGE) + BigInt(wordAt(block.bytes, 4));
-  const size = 1n << BigInt(bits - prefixLength);
+    BigInt(wordAt(block.bytes, 0)) * BigInt(WORD_RANGE) + BigInt(wordAt(block.bytes, 4));
+  const size = 1n << BigInt(IPV6_NETWORK_BITS - prefixLength);
   return { start, end: start + size, value };
 }
 
+function indexNetworks(starts: Uint32Array): Uint32Array {
+  const firstAfter = new Uint32Array(IPV4_NETWORKS + 1);
+  let range = 0;
+  for (let network = 0; network <= IPV4_NETWORKS; network++) {
+    const networkStart = network * IPV4_NETWORK_SIZE;
+    while (range < starts.length && starts[range]! < networkStart) {
+      range++;
+    }
+    firstAfter[network] = range;
+  }
+  return firstAfter;
+}
+
 /** Cuts nested intervals into disjoint ranges; each runs to the next one's start. */
-function flatten(intervals: readonly Interval[]): { start: bigint; value: number }[] {
-  const sorted = [...intervals].sort(
-    (a, b) => compareBigInt(a.start, b.start) || compareBigInt(b.end, a.end),
-  );
-  const ranges: { start: bigint; value: number }[] = [];
-  const open: Interval[] = [];
-  const append = (start: bigint, value: number): void => {
+function flatten<Address extends number | bigint>(
+  intervals: readonly Interval<Address>[],
+  addressEnd: Address,
+): Range<Address>[] {
+  // Of those that start alike, the wider comes first, so that the narrower covers it.
+  const sorted = [...intervals].sort((a, b) => compare(a.start, b.start) || compare(b.end, a.end));
+  const ranges: Range<Address>[] = [];
+  const open: Interval<Address>[] = [];
+  const append = (start: Address, value: number): void => {
     const last = ranges.at(-1);
     if (last?.start === start) {
       last.value = value;
@@ -167,7 +217,7 @@
       ranges.push({ start, value });
     }
   };
-  const closeUntil = (position: bigint): void => {
+  const closeUntil = (position: Address): void => {
     for (let top = open.at(-1); top !== undefined && top.end <= position; top = open.at(-1)) {
       open.pop();
       append(top.end, open.at(-1)?.value ?? NO_BLOCK);
@@ -178,11 +228,10 @@
     open.push(interval);
     append(interval.start, interval.value);
   }
-  const lastEnd = sorted.reduce((end, interval) => (interval.end > end ? interval.end : end), 0n);
-  closeUntil(lastEnd);
-  return ranges.filter((range) => range.start < 1n << 64n);
+  closeUntil(addressEnd);
+  return ranges.filter((range) => range.start < addressEnd);
 }
 
-function compareBigInt(a: bigint, b: bigint): number {
+function compare<Address extends number | bigint>(a: Address, b: Address): number {
   return a < b ? -1 : a > b ? 1 : 0;
 }
--- a/packages/steering/src/targets/slot-book.ts
+++ b/packages/steering/src/targets/slot-book.ts
@@ -2,7 +2,6 @@
 import { randomIndex } from '@ferrylock/utils';
 import type { DistanceMap, Place } from '../lookup/distance-map.js';
 import type { SlotAllotment } from './slot-allotment.js';
-import { slotLimitKey } from './slot-allotment.js';
 import type { Target } from './target.js';
 import type { TargetSet } from './target-set.js';
 
@@ -10,8 +9,6 @@
 const UNKNOWN_LATENCY_MILLISECONDS = 1;
 
 export interface SlotBookOptions {
-  readonly account: string;
-  readonly service: string;
   readonly targets: TargetSet;
   readonly allotment: SlotAllotment;
   readonly entryPlace: Place;
@@ -39,10 +36,6 @@
     this.#distances = distances;
   }
 
-  limitKey(target: string): string {
-    return slotLimitKey(this.#options.account, this.#options.service, target);
-  }
-
   /**
    * Takes a slot of the best open target for work that ends by the deadline.
    *
@@ -81,7 +74,7 @@
   spareSlots(): { target: string; units: number }[] {
     const now = this.#options.clock.now();
     const spare = this.#options.targets.open(now).map((target) => {
-      const owned = this.#options.allotment.lendable(this.limitKey(target.name));
+      const owned = this.#options.allotment.lendable(target.limitKey);
       const unused = this.#usable(target, now) - target.inFlight;
       return {
         target: target.name,
@@ -106,7 +99,7 @@
   }
 
   #usable(target: Target, until: number): number {
-    return this.#options.allotment.usable(this.limitKey(target.name), until);
+    return this.#options.allotment.usable(target.limitKey, until);
   }
 
   /** Of the nearest targets two at random, and the one that answers sooner of these. */
--- a/packages/steering/src/targets/target-set.ts
+++ b/packages/steering/src/targets/target-set.ts
@@ -1,6 +1,7 @@
-import type { Declaration, Drain } from '@ferrylock/schema';
+import type { Declaration, Drain, TargetDeclaration } from '@ferrylock/schema';
 import type { DistanceMap } from '../lookup/distance-map.js';
 import { effectiveSlots } from './effective-slots.js';
+import { slotLimitKey } from './slot-allotment.js';
 import { Target } from './target.js';
 
 /** Share of a service's targets that may be ejected before the signal itself is doubted. */
@@ -12,7 +13,10 @@
   #effectiveSlots = new Map<string, number>();
   #leavingAddresses: ReadonlySet<string> = new Set();
 
-  constructor(readonly service: string) {}
+  constructor(
+    readonly account: string,
+    readonly service: string,
+  ) {}
 
   all(): Target[] {
     return [...this.#targets.values()];
@@ -46,7 +50,7 @@
       const known = this.#targets.get(name);
       const isSame = JSON.stringify(known?.declaration) === JSON.stringify(target);
       const kept = isSame ? known : undefined;
-      const current = kept ?? new Target(name, target, distances.placeOf(target.failureDomain));
+      const current = kept ?? this.#makeTarget(name, target, distances);
       if (kept === undefined && isFirst) {
         current.assumeWarm();
       }
@@ -70,6 +74,11 @@
     return inUse.filter((target) => target.isOpen(now));
   }
 
+  #makeTarget(name: string, declaration: TargetDeclaration, distances: DistanceMap): Target {
+    const limitKey = slotLimitKey(this.account, this.service, name);
+    return new Target(name, limitKey, declaration, distances.placeOf(declaration.failureDomain));
+  }
+
   #isInUse(target: Target): boolean {
     const hostLeaves = this.#leavingAddresses.has(target.declaration.address);
     return !target.drained && !target.leaving && !hostLeaves;
--- a/packages/steering/src/targets/target.ts
+++ b/packages/steering/src/targets/target.ts
@@ -32,6 +32,8 @@
 
   constructor(
     readonly name: string,
+    /** Names its slots among the limits that all daemons divide between them. */
+    readonly limitKey: string,
     readonly declaration: TargetDeclaration,
     readonly place: Place,
   ) {}
--- a/packages/test-utils/src/target-stand-in.ts
+++ b/packages/test-utils/src/target-stand-in.ts
@@ -28,6 +28,8 @@
   /** Whether its answers and probes say that it is about to stop. */
   leaving = false;
   reportedLoad: number | undefined;
+  /** Requests that arrived, whatever was done with them, apart from probes. */
+  timesMet = 0;
   /** Requests begun, apart from probes. */
   requests = 0;
   /** Most requests at a time. */
@@ -93,6 +95,7 @@
       response.writeHead(this.behaviour === 'unavailable' ? 503 : 200).end();
       return;
     }
+    this.timesMet++;
     if (this.behaviour === 'resetBeforeReading') {
       request.socket.destroy();
       return;
