feat: lend rates in one growing loan for each lender, and measure dividing a cap

Found by a seeded test while mending it: a late message that shrinks a loan, arriving after one that grows it, made room out of nothing (1,006,470 of 1,000,000 units). Messages about a loan now carry a sequence number. Change: one loan for each lender that grows and shrinks; a lender asks units back by a lower answer; buckets fill at the lowest rate since the last look; the burst is shared out evenly.

--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -1,7 +1,8 @@
 import { choice } from './benches/choice.js';
+import { limits } from './benches/limits.js';
 import { lookup } from './benches/lookup.js';
 import { proxy } from './benches/proxy.js';
 import type { Bench } from './report.js';
 
 /** Every bench by its name on the command line. */
-export const benches: Readonly<Record<string, Bench>> = { choice, lookup, proxy };
+export const benches: Readonly<Record<string, Bench>> = { choice, limits, lookup, proxy };
--- a/packages/control/src/allotments/allotment-ledger.ts
+++ b/packages/control/src/allotments/allotment-ledger.ts
@@ -9,8 +9,10 @@
   readonly loanId: string;
   readonly borrower: string;
   readonly limit: string;
-  readonly units: number;
+  units: number;
   until: number;
+  /** Sequence number of the borrower's latest word on it. */
+  sequence: number;
 }
 
 /** Units borrowed from a peer, of use here until the time is over. */
@@ -18,7 +20,7 @@
   readonly loanId: string;
   readonly lenderAddress: string;
   readonly limit: string;
-  readonly units: number;
+  units: number;
   until: number;
 }
 
@@ -33,6 +35,8 @@
   readonly limit: string;
   readonly units: number;
   readonly durationMilliseconds: number;
+  /** Rises with each message about the loan, so that one that comes late or twice changes nothing. */
+  readonly sequence: number;
 }
 
 /**
@@ -45,7 +49,8 @@
   readonly #lent = new Map<string, LentUnits>();
   readonly #borrowed = new Map<string, BorrowedUnits>();
   readonly #lentByLimit = new Map<string, Set<LentUnits>>();
-  readonly #decreases = new Map<string, number>();
+  /** Fewest usable units since the limit's user last looked; only of limits with such a user. */
+  readonly #lowest = new Map<string, number>();
   readonly #borrowedByLimit = new Map<string, Set<BorrowedUnits>>();
 
   constructor(
@@ -62,9 +67,15 @@
     return this.lendable(limit) + this.borrowed(limit, until);
   }
 
-  /** Counts how often units of a limit went out of use, so that a user notices even a short dip. */
-  decreases(limit: string): number {
-    return this.#decreases.get(limit) ?? 0;
+  /**
+   * The fewest units that were usable at any time since the last call for the limit, so that its
+   * user notices even a short dip.
+   */
+  takeLowest(limit: string): number {
+    const usable = this.usable(limit);
+    const lowest = Math.min(usable, this.#lowest.get(limit) ?? usable);
+    this.#lowest.set(limit, usable);
+    return lowest;
   }
 
   /** Units owned here and not lent out. Only these are lent on; loans do not form chains. */
@@ -105,17 +116,14 @@
 
   /**
    * Lends units, at most those that may be spared, and says how many. The same loan asked for again
-   * is prolonged, never doubled, unless the lender now needs the units itself: `spare` is then
-   * negative, and the loan runs out.
+   * is prolonged, and grows or shrinks to the units asked for now. Where the lender needs some back,
+   * `spare` is negative and the answer is lower than the loan; the units count as lent until the
+   * borrower itself asks for fewer, since it may not have heard the answer.
    */
   lend(request: LoanRequest, spare: number): number {
     const known = this.#lent.get(lentKey(request));
     if (known !== undefined && known.until > this.clock.now()) {
-      if (spare < 0) {
-        return 0;
-      }
-      this.prolongLent(request);
-      return known.units;
+      return request.sequence > known.sequence ? this.#lendAgain(known, request, spare) : 0;
     }
     const units = Math.max(
       0,
@@ -130,15 +138,28 @@
       limit: request.limit,
       units,
       until: this.#lenderUntil(request.durationMilliseconds),
+      sequence: request.sequence,
     };
     this.#lent.set(lentKey(request), loan);
-    this.#countDecrease(loan.limit);
     setOf(this.#lentByLimit, loan.limit).add(loan);
+    this.#noteDecrease(loan.limit);
     return units;
   }
 
+  #lendAgain(known: LentUnits, request: LoanRequest, spare: number): number {
+    known.sequence = request.sequence;
+    const room = Math.floor(Math.min(Math.max(0, spare), this.lendable(request.limit)));
+    known.units = Math.min(request.units, known.units + room);
+    const granted = spare < 0 ? Math.max(0, known.units + Math.floor(spare)) : known.units;
+    if (granted > 0) {
+      this.prolongLent(request);
+    }
+    this.#noteDecrease(request.limit);
+    return granted;
+  }
+
   /** Gives a loan more time; says whether it was still out. */
-  prolongLent(request: Omit<LoanRequest, 'units' | 'limit'>): boolean {
+  prolongLent(request: Pick<LoanRequest, 'loanId' | 'borrower' | 'durationMilliseconds'>): boolean {
     const known = this.#lent.get(lentKey(request));
     if (known === undefined || known.until <= this.clock.now()) {
       return false;
@@ -156,6 +177,18 @@
     return lent;
   }
 
+  /** Records a loan from a peer, or what it has grown to. */
+  growBorrowed(loan: BorrowedUnits): void {
+    const known = this.#borrowed.get(loan.loanId);
+    if (known === undefined || known.until <= this.clock.now()) {
+      this.forgetBorrowed(loan.loanId);
+      this.recordBorrowed(loan);
+      return;
+    }
+    known.units = Math.max(known.units, loan.units);
+    known.until = Math.max(known.until, loan.until);
+  }
+
   /** Records a loan from a peer. */
   recordBorrowed(loan: BorrowedUnits): void {
     if (this.#borrowed.has(loan.loanId)) {
@@ -165,10 +198,19 @@
     setOf(this.#borrowedByLimit, loan.limit).add(loan);
   }
 
-  /** Counts a loan's time anew after its lender has prolonged it. */
+  /** Gives up part of a loan; the lender is told only after this. */
+  shrinkBorrowed(loanId: string, units: number): void {
+    const loan = this.#borrowed.get(loanId);
+    if (loan !== undefined && units < loan.units) {
+      loan.units = units;
+      this.#noteDecrease(loan.limit);
+    }
+  }
+
+  /** Counts a loan's time anew after its lender has prolonged it; one that was over stays so. */
   prolongBorrowed(loanId: string, until: number): void {
     const loan = this.#borrowed.get(loanId);
-    if (loan !== undefined) {
+    if (loan !== undefined && loan.until > this.clock.now()) {
       loan.until = Math.max(loan.until, until);
     }
   }
@@ -179,12 +221,15 @@
     if (loan !== undefined) {
       this.#borrowed.delete(loanId);
       this.#borrowedByLimit.get(loan.limit)?.delete(loan);
-      this.#countDecrease(loan.limit);
+      this.#noteDecrease(loan.limit);
     }
   }
 
-  #countDecrease(limit: string): void {
-    this.#decreases.set(limit, this.decreases(limit) + 1);
+  #noteDecrease(limit: string): void {
+    const lowest = this.#lowest.get(limit);
+    if (lowest !== undefined) {
+      this.#lowest.set(limit, Math.min(lowest, this.usable(limit)));
+    }
   }
 
   #sumLent(limit: string): number {
--- a/packages/control/src/allotments/demand-meter.ts
+++ b/packages/control/src/allotments/demand-meter.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@ferrylock/utils';
 
 /** Time constant of the estimate: long enough to see past gaps, short enough to follow a rush. */
-const WINDOW_MILLISECONDS = 500;
+const WINDOW_MILLISECONDS = 4_000;
 /** With no demand for this long, a limit counts as not in use. */
 const IDLE_MILLISECONDS = 5_000;
 
--- a/packages/control/src/allotments/limit-register.ts
+++ b/packages/control/src/allotments/limit-register.ts
@@ -43,6 +43,11 @@
     return this.#limits.get(key);
   }
 
+  /** Positions that have a part of the limit. */
+  sharers(key: string): number {
+    return this.#divisionOf(key).parts.size;
+  }
+
   /** Units of a limit that belong to the given positions. */
   unitsOf(key: string, positions: readonly number[]): number {
     const division = this.#divisionOf(key);
--- a/packages/control/src/allotments/rate-shares.ts
+++ b/packages/control/src/allotments/rate-shares.ts
@@ -6,6 +6,7 @@
 import type { PeerParams, PeerResult } from '../peer/peer-methods.js';
 import type { PeerRouter } from '../peer/peer-router.js';
 import type { AllotmentLedger, BorrowedUnits } from './allotment-ledger.js';
+import type { LimitRegister } from './limit-register.js';
 import { DemandMeter } from './demand-meter.js';
 
 /** Units that a rate limit is divided into; a unit is this part of its cap. */
@@ -15,12 +16,14 @@
 const ROUND_MILLISECONDS = 100;
 /** Peers asked for one limit in one round. */
 const ASKS_PER_ROUND = 3;
-/** Room kept above the present demand, as a share of it, so that small swings need no message. */
-const HEADROOM = 0.1;
+/** Room borrowed above the present demand, as a share of it, so that small swings need no message. */
+const HEADROOM = 0.01;
+/** Room kept above what would be borrowed, so that the part does not swing. */
+const KEPT_ABOVE = 0.02;
 /** A peer that had nothing to spare is not asked again for this long. */
-const EMPTY_MILLISECONDS = 500;
+const EMPTY_MILLISECONDS = 800;
 /** Loans smaller than this share of a limit are not worth a message. */
-const SMALLEST_LOAN_UNITS = RATE_UNITS / 2_000;
+const SMALLEST_LOAN_UNITS = RATE_UNITS / 1_000;
 
 interface ActiveLimit {
   readonly meter: DemandMeter;
@@ -32,6 +35,7 @@
 
 export interface RateSharesOptions {
   readonly ledger: AllotmentLedger;
+  readonly register: LimitRegister;
   readonly membership: Membership;
   readonly peers: PeerClient;
   readonly clock: Clock;
@@ -47,6 +51,7 @@
   /** Whether the rounds are under way; they rest while no limit is in use. */
   #running = false;
   #loanCount = 0;
+  #sequence = 1;
 
   constructor(options: RateSharesOptions) {
     this.#options = options;
@@ -70,6 +75,16 @@
     return (this.#options.ledger.usable(limit) / RATE_UNITS) * capPerSecond;
   }
 
+  /** The lowest rate that could be used at any time since the last call. */
+  lowestPerSecond(limit: string, capPerSecond: number): number {
+    return (this.#options.ledger.takeLowest(limit) / RATE_UNITS) * capPerSecond;
+  }
+
+  /** The burst is divided evenly between the positions that share the limit. */
+  burstShare(limit: string): number {
+    return 1 / Math.max(1, this.#options.register.sharers(limit));
+  }
+
   /** Counts what is asked for, granted or not. */
   recordDemand(limit: string, capPerSecond: number, amount: number): void {
     const active = this.#activate(limit);
@@ -111,31 +126,33 @@
       await this.#returnAll(limit);
       return;
     }
-    const wanted = this.#wantedUnits(active);
+    const wanted = Math.min(RATE_UNITS, this.#demandUnits(active) * (1 + HEADROOM));
     const now = clock.now();
     const expiring = ledger
       .borrowedLoans(limit)
       .filter((loan) => loan.until - now < RATE_LOAN_MILLISECONDS / 2);
     const lasting = ledger.usable(limit) - sumUnits(expiring);
-    let missing = wanted - lasting;
+    let worthKeeping = wanted * (1 + KEPT_ABOVE) - lasting;
     for (const loan of expiring) {
-      if (missing <= 0) {
+      if (worthKeeping <= 0) {
         break;
       }
-      missing -= loan.units;
+      ledger.shrinkBorrowed(loan.loanId, Math.ceil(worthKeeping));
+      worthKeeping -= loan.units;
       await this.#prolong(loan);
     }
+    const missing = wanted - ledger.usable(limit);
     if (missing >= SMALLEST_LOAN_UNITS) {
-      await this.#borrow(limit, active, missing);
+      await this.#borrow(limit, active, Math.ceil(missing));
     }
   }
 
-  /** Units that the present demand takes, with a little room above. */
-  #wantedUnits(active: ActiveLimit): number {
+  /** Units that the present demand takes. */
+  #demandUnits(active: ActiveLimit): number {
     if (active.capPerSecond <= 0) {
       return 0;
     }
-    const share = (active.meter.perSecond * (1 + HEADROOM)) / active.capPerSecond;
+    const share = active.meter.perSecond / active.capPerSecond;
     return Math.min(RATE_UNITS, Math.ceil(share * RATE_UNITS));
   }
 
@@ -163,49 +180,61 @@
       .map((member) => ({ key: memberKey(member), address: member.controlAddress }));
   }
 
+  /** Borrows from a peer, on top of what it has lent already; returns the units gained. */
   async #borrowFrom(
     peer: { key: string; address: string },
     limit: string,
     units: number,
     active: ActiveLimit,
   ): Promise<number> {
-    const { peers, ledger, clock, membership } = this.#options;
-    const loanId = `r${this.#loanCount++}`;
+    const { ledger, clock } = this.#options;
+    // One loan for each lender: many small ones would each have to be prolonged.
+    const known = ledger
+      .borrowedLoans(limit)
+      .find((loan) => loan.lenderAddress === peer.address && loan.until > clock.now());
+    const before = known?.units ?? 0;
+    const loanId = known?.loanId ?? `r${this.#loanCount++}`;
     const askedAt = clock.now();
-    const answer = await peers.call(peer.address, 'allotments.borrow', {
-      loanId,
-      borrower: memberKey(membership.self),
-      limit,
-      units,
-      durationMilliseconds: RATE_LOAN_MILLISECONDS,
-    });
-    if (answer.isErr() || answer.value.units === 0) {
+    const lent = await this.#askLender(peer.address, { loanId, limit, units: before + units });
+    if (lent <= before) {
       active.emptyUntil.set(peer.key, clock.now() + EMPTY_MILLISECONDS);
       return 0;
     }
-    ledger.recordBorrowed({
+    ledger.growBorrowed({
       loanId,
       lenderAddress: peer.address,
       limit,
-      units: answer.value.units,
+      units: lent,
       until: askedAt + RATE_LOAN_MILLISECONDS,
     });
-    return answer.value.units;
+    return lent - before;
   }
 
   async #prolong(loan: BorrowedUnits): Promise<void> {
-    const { peers, ledger, clock, membership } = this.#options;
+    const { ledger, clock } = this.#options;
     const askedAt = clock.now();
-    const answer = await peers.call(loan.lenderAddress, 'allotments.borrow', {
+    const lent = await this.#askLender(loan.lenderAddress, loan);
+    if (lent > 0) {
+      ledger.shrinkBorrowed(loan.loanId, lent);
+      ledger.prolongBorrowed(loan.loanId, askedAt + RATE_LOAN_MILLISECONDS);
+    }
+  }
+
+  /** Units of the loan that the lender now grants; 0 where it does not, or does not answer. */
+  async #askLender(
+    address: string,
+    loan: Pick<BorrowedUnits, 'loanId' | 'limit' | 'units'>,
+  ): Promise<number> {
+    const { peers, membership } = this.#options;
+    const answer = await peers.call(address, 'allotments.borrow', {
       loanId: loan.loanId,
       borrower: memberKey(membership.self),
       limit: loan.limit,
       units: loan.units,
       durationMilliseconds: RATE_LOAN_MILLISECONDS,
+      sequence: this.#sequence++,
     });
-    if (answer.isOk() && answer.value.units === loan.units) {
-      ledger.prolongBorrowed(loan.loanId, askedAt + RATE_LOAN_MILLISECONDS);
-    }
+    return answer.isOk() ? answer.value.units : 0;
   }
 
   async #returnAll(limit: string): Promise<void> {
@@ -221,10 +250,10 @@
   #answerBorrow(request: PeerParams<'allotments.borrow'>): PeerResult<'allotments.borrow'> {
     const { ledger } = this.#options;
     const active = this.#active.get(request.limit);
-    const ownDemand = active === undefined ? 0 : this.#wantedUnits(active);
+    const ownDemand = active === undefined ? 0 : this.#demandUnits(active);
     const spare = ledger.lendable(request.limit) - ownDemand;
     const units = ledger.lend(request, spare);
-    return { units, spare: Math.max(0, Math.floor(spare) - units) };
+    return { units };
   }
 }
 
--- a/packages/control/src/allotments/slot-loans.ts
+++ b/packages/control/src/allotments/slot-loans.ts
@@ -309,7 +309,7 @@
       const limit = borrower.limitKey(target);
       const { durationMilliseconds } = request;
       const units = this.#options.ledger.lend(
-        { loanId, borrower: request.borrower, limit, units: 1, durationMilliseconds },
+        { loanId, borrower: request.borrower, limit, units: 1, durationMilliseconds, sequence: 0 },
         1,
       );
       if (units === 1) {
--- a/packages/control/src/peer/peer-methods.ts
+++ b/packages/control/src/peer/peer-methods.ts
@@ -75,8 +75,12 @@
   },
   /** Asks for units of a limit, or, with a loan id used before, for more time. */
   'allotments.borrow': {
-    params: loanSchema.extend({ limit: z.string(), units: z.int().min(0) }),
-    result: z.object({ units: z.int().min(0), spare: z.int().min(0) }),
+    params: loanSchema.extend({
+      limit: z.string(),
+      units: z.int().min(0),
+      sequence: z.int().min(0),
+    }),
+    result: z.object({ units: z.int().min(0) }),
   },
   'allotments.return': {
     params: z.object({ loanId: z.string(), borrower: z.string() }),
--- a/packages/daemon/src/components.ts
+++ b/packages/daemon/src/components.ts
@@ -13,7 +13,6 @@
 } from '@ferrylock/control';
 import type { MemberIdentity, PeerRouter, PeerTransport } from '@ferrylock/control';
 import type { HostDirectory, KeyValueStore } from '@ferrylock/platform';
-import type { RateAllotment } from '@ferrylock/steering';
 import type { Clock, Logger, Random } from '@ferrylock/utils';
 import { ServiceMetrics } from './metrics/service-metrics.js';
 import { KeyRegister } from './request/key-register.js';
@@ -90,11 +89,11 @@
     usageFits: () => ledger.lentFits() && directory.usageFits(),
   });
   const ledger = new AllotmentLedger(clock, positions);
-  const rates = new RateShares({ ...common, ledger, membership, peers });
+  const rates = new RateShares({ ...common, ledger, register, membership, peers });
   const slotLoans = new SlotLoans({ ...common, ledger, membership, peers });
   const directory = new ServiceDirectory(replica, register, {
     clock,
-    rates: rateAllotment(rates, ledger),
+    rates,
     service: { entryPlace, ledger, slotLoans, clock, random },
   });
   membership.addParticipant(sync);
@@ -162,13 +161,3 @@
     operatorCalls,
   };
 }
-
-function rateAllotment(rates: RateShares, ledger: AllotmentLedger): RateAllotment {
-  return {
-    usablePerSecond: (limit, cap) => rates.usablePerSecond(limit, cap),
-    decreases: (limit) => ledger.decreases(limit),
-    recordDemand: (limit, cap, amount) => {
-      rates.recordDemand(limit, cap, amount);
-    },
-  };
-}
--- a/packages/steering/src/limits/shared-bucket.ts
+++ b/packages/steering/src/limits/shared-bucket.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@ferrylock/utils';
 import type { RateAllotment } from './rate-allotment.js';
 
-/** Seconds of its rate that a bucket holds: the burst that a cap lets through at once. */
+/** Seconds of a cap that all buckets together hold: the burst that it lets through at once. */
 export const BURST_SECONDS = 0.1;
 /** A bucket holds at least one request, or small parts of a cap would never be usable. */
 const SMALLEST_DEPTH = 1;
@@ -9,13 +9,13 @@
 /**
  * A token bucket filled at this daemon's part of a shared cap. Over any window, all daemons together
  * let through at most cap × window + burst, where the burst is the greater of a tenth of a second of
- * the cap and one request a daemon.
+ * the cap and one request a daemon. The burst is shared out evenly, unlike the rate: a quiet daemon
+ * needs it more than a busy one, whose requests even out by themselves.
  */
 export class SharedBucket {
   #tokens = 0;
   #filledAt: number;
   #rate = 0;
-  #decreases = 0;
 
   constructor(
     readonly limit: string,
@@ -49,20 +49,21 @@
     return missing <= 0 ? 0 : (missing / this.#rate) * 1_000;
   }
 
-  /** Fills at the lower of the rates before and now; a time that saw a dip in between is not counted. */
+  /** Fills at the lowest rate since the last look, so that no time counts at two daemons. */
   #fill(): void {
     const now = this.clock.now();
-    const rate = this.allotment.usablePerSecond(this.limit, this.capPerSecond);
-    const decreases = this.allotment.decreases(this.limit);
-    const steady = decreases === this.#decreases;
-    const earned = steady ? (Math.min(rate, this.#rate) * (now - this.#filledAt)) / 1_000 : 0;
-    this.#rate = rate;
-    this.#decreases = decreases;
+    const lowest = this.allotment.lowestPerSecond(this.limit, this.capPerSecond);
+    const earned = (Math.min(lowest, this.#rate) * (now - this.#filledAt)) / 1_000;
+    this.#rate = this.allotment.usablePerSecond(this.limit, this.capPerSecond);
     this.#filledAt = now;
     this.#tokens = Math.min(this.#depth(), this.#tokens + earned);
   }
 
   #depth(): number {
-    return this.#rate <= 0 ? 0 : Math.max(SMALLEST_DEPTH, this.#rate * BURST_SECONDS);
+    if (this.#rate <= 0) {
+      return 0;
+    }
+    const share = this.allotment.burstShare(this.limit);
+    return Math.max(SMALLEST_DEPTH, this.capPerSecond * BURST_SECONDS * share);
   }
 }
--- a/packages/test-utils/src/control-fleet.ts
+++ b/packages/test-utils/src/control-fleet.ts
@@ -178,7 +178,7 @@
       usageFits: () => ledger.lentFits(),
     });
     const ledger = new AllotmentLedger(clock, positions);
-    const rates = new RateShares({ ...common, ledger, membership, peers });
+    const rates = new RateShares({ ...common, ledger, register, membership, peers });
     const configuration = new ConfigurationService({
       ...common,
       store,
