--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -1,8 +1,19 @@
+import { capacity } from './benches/capacity.js';
 import { choice } from './benches/choice.js';
 import { limits } from './benches/limits.js';
 import { lookup } from './benches/lookup.js';
+import { membership } from './benches/membership.js';
 import { proxy } from './benches/proxy.js';
+import { spread } from './benches/spread.js';
 import type { Bench } from './report.js';
 
 /** Every bench by its name on the command line. */
-export const benches: Readonly<Record<string, Bench>> = { choice, limits, lookup, proxy };
+export const benches: Readonly<Record<string, Bench>> = {
+  capacity,
+  choice,
+  limits,
+  lookup,
+  membership,
+  proxy,
+  spread,
+};
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,19 +1,25 @@
 /** `npm run bench -- NAME [--json] [--seed N]`: measures one aspect and prints what it found. */
-import { execSync } from 'node:child_process';
+import { readFileSync } from 'node:fs';
 import sade from 'sade';
 import { benches } from './benches.js';
 import { formatRows, formatTargets } from './report.js';
 
 const DEFAULT_SEED = 1;
+const SHORT_COMMIT_LENGTH = 7;
 
 interface Options {
   readonly json?: boolean;
   readonly seed: number;
 }
 
+/** The commit that is checked out, read from the repository's own files. */
 function currentCommit(): string {
   try {
-    return execSync('git rev-parse --short HEAD', { encoding: 'utf8' }).trim();
+    const git = new URL('../../../.git/', import.meta.url);
+    const head = readFileSync(new URL('HEAD', git), 'utf8').trim();
+    const reference = /^ref: (.*)$/.exec(head)?.[1];
+    const commit = reference === undefined ? head : readFileSync(new URL(reference, git), 'utf8');
+    return commit.slice(0, SHORT_COMMIT_LENGTH);
   } catch {
     return 'unknown';
   }
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -7,7 +7,7 @@
 export { RATE_LOAN_MILLISECONDS, RATE_UNITS, RateShares } from './allotments/rate-shares.js';
 export { SlotLoans } from './allotments/slot-loans.js';
 export type { SlotBorrower } from './allotments/slot-loans.js';
-export { contentDigest } from './configuration/configuration-delta.js';
+export { contentDigest, makeDelta } from './configuration/configuration-delta.js';
 export { ConfigurationReplica } from './configuration/configuration-replica.js';
 export { ConfigurationService } from './configuration/configuration-service.js';
 export type { ChangeFailure, ChangeRequest } from './configuration/configuration-service.js';
