feat: bound how fast traffic moves between regions, and stop hosts without a cut

Cause: shift caps were declared and not enforced; a planned stop closed idle connections while other daemons could still name the host. Ruled out: the cut requests that the demonstration showed were its own: its callers closed their connections while a last request was on its way. Change: ShiftLimiter holds a reference of where a service's traffic is that follows it no faster than the cap; a new daemon takes the fleet's shares from its peers. A leaving host tells its whole domain, serves on for the lifetime and 3 s more, and closes idle connections only then. A target that cannot be connected to no longer uses up the retry budget, which had turned answers into refusals.

--- a/packages/control/src/membership/membership.ts
+++ b/packages/control/src/membership/membership.ts
@@ -13,6 +13,8 @@
 const DEFAULT_HEARTBEAT_MILLISECONDS = 1_000;
 /** Share of heartbeats to other domains that try a contact again that did not answer. */
 const RETRY_SHARE = 0.25;
+/** Contacts in other domains that hear at first hand that this daemon leaves. */
+const CONTACTS_TOLD = 24;
 /** Peers asked to try for themselves before a silent one becomes suspect. */
 const INDIRECT_PROBES = 2;
 /** Heartbeats that a suspect has time to refute in, over the logarithm of the members. */
@@ -345,13 +347,11 @@
     ) as HeartbeatFields;
   }
 
+  /** Tells the whole own domain, and enough others that the rest hears soon. */
   async #tellSeveral(): Promise<void> {
     this.#refreshSummary();
-    const { random } = this.#options;
-    const told = [
-      ...shuffled(random, this.members.others()).slice(0, 3),
-      ...shuffled(random, this.domains.reachableContacts()).slice(0, 3),
-    ];
+    const contacts = shuffled(this.#options.random, this.domains.reachableContacts());
+    const told = [...this.members.others(), ...contacts.slice(0, CONTACTS_TOLD)];
     await Promise.all(told.map((member) => this.#heartbeat(member.controlAddress, false)));
   }
 
--- a/packages/control/src/peer/peer-methods.ts
+++ b/packages/control/src/peer/peer-methods.ts
@@ -82,6 +82,14 @@
     }),
     result: z.object({ units: z.int().min(0) }),
   },
+  /** Asks where a service's traffic goes now, as a start for a daemon that has just begun. */
+  'placement.shares': {
+    params: z.object({ account: z.string(), service: z.string() }),
+    result: z.object({
+      shares: z.record(z.string(), z.number().min(0).max(1)),
+      demandPerSecond: z.number().min(0),
+    }),
+  },
   'allotments.return': {
     params: z.object({ loanId: z.string(), borrower: z.string() }),
     result: z.object({}),
--- a/packages/daemon/src/components.ts
+++ b/packages/daemon/src/components.ts
@@ -20,6 +20,7 @@
 import { TargetClient } from './request/target-client.js';
 import { OperatorCalls } from './rpc/operator-calls.js';
 import { LookupService } from './services/lookup-service.js';
+import { PlacementSeeder } from './services/placement-seeder.js';
 import { ServiceDirectory } from './services/service-directory.js';
 import { TargetProber } from './services/target-prober.js';
 import { layoutOf } from './settings/settings.js';
@@ -49,6 +50,7 @@
   readonly slotLoans: SlotLoans;
   readonly directory: ServiceDirectory;
   readonly prober: TargetProber;
+  readonly seeder: PlacementSeeder;
   readonly lookup: LookupService;
   readonly keys: KeyRegister;
   readonly client: TargetClient;
@@ -143,6 +145,8 @@
     metrics,
   });
   const prober = new TargetProber({ ...common, directory });
+  const seeder = new PlacementSeeder({ ...common, directory, membership, peers });
+  seeder.register(router);
   return {
     replica,
     membership,
@@ -153,6 +157,7 @@
     slotLoans,
     directory,
     prober,
+    seeder,
     lookup,
     keys,
     client,
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -12,6 +12,8 @@
 import { OpenAuthenticator } from './rpc/operator-authenticator.js';
 import type { Settings } from './settings/settings.js';
 
+/** Time in which every other daemon surely hears that this one leaves, and stops naming it. */
+const SPREAD_MILLISECONDS = 3_000;
 /** Pause between two looks at whether all work in flight has ended. */
 const DRAIN_CHECK_MILLISECONDS = 20;
 
@@ -94,13 +96,14 @@
     components.sync.start();
     components.positions.start();
     components.prober.start();
+    components.seeder.start();
     this.#logger.info('daemon started', { addresses, incarnation: this.incarnation });
     return addresses;
   }
 
   /**
    * Planned stop: look-ups stop naming this host, it serves on for as long as callers may still use
-   * an earlier answer, then lets all work in flight end, gives back its parts of limits, and leaves.
+   * an answer that any daemon gave before it heard, then lets all work in flight end, gives back its parts of limits, and leaves.
    *
    * @param hurry - ends the waiting when aborted; what is then in flight is cut and counted
    */
@@ -108,9 +111,10 @@
     const running = this.#started();
     const { lookup, stop } = this.settings;
     this.#logger.info('daemon leaving', { requestsInFlight: running.requestPath.inFlight });
+    running.traffic.beginLeaving();
     await running.membership.announceLeaving();
-    await this.#clock.sleep(lookup.lifetimeSeconds * 1_000, hurry);
-    running.traffic.beginClosing();
+    await this.#clock.sleep(SPREAD_MILLISECONDS + lookup.lifetimeSeconds * 1_000, hurry);
+    running.traffic.closeIdleConnections();
     const deadlineAt = this.#clock.now() + stop.deadlineSeconds * 1_000;
     while (this.#isBusy(running) && this.#clock.now() < deadlineAt && hurry?.aborted !== true) {
       await this.#clock.sleep(DRAIN_CHECK_MILLISECONDS, hurry);
@@ -142,7 +146,7 @@
   }
 
   async #close(running: Running): Promise<void> {
-    await Promise.all([running.sync.stop(), running.prober.stop()]);
+    await Promise.all([running.sync.stop(), running.prober.stop(), running.seeder.stop()]);
     await Promise.all([running.traffic.close(), running.control.close()]);
     await running.client.close();
     await Promise.all(this.#closeAdapters.map((close) => close()));
--- a/packages/daemon/src/http/traffic-server.ts
+++ b/packages/daemon/src/http/traffic-server.ts
@@ -68,9 +68,13 @@
     this.#attached = options;
   }
 
-  /** From now on each answer closes its connection, and idle connections are closed. */
-  beginClosing(): void {
+  /** From now on each answer closes its connection, so that callers come back elsewhere. */
+  beginLeaving(): void {
     this.#closing = true;
+  }
+
+  /** Closes connections that carry no request. Only once no caller has a reason to use them. */
+  closeIdleConnections(): void {
     this.#app.server.closeIdleConnections();
   }
 
--- a/packages/daemon/src/request/request-path.ts
+++ b/packages/daemon/src/request/request-path.ts
@@ -197,6 +197,7 @@
     const failed = new Set<Target>();
     let mayHaveRunBefore: MayHaveRun | undefined;
     service.retries.recordRequest();
+    service.shifts.recordDemand();
     for (let tries = 1; ; tries++) {
       const verdict = await this.#tryOnce(progress, read.value, failed);
       if (verdict.kind === 'mayHaveRun') {
@@ -206,7 +207,7 @@
         tries < MAXIMUM_ATTEMPTS &&
         this.#mayRetry(progress, read.value, verdict) &&
         this.#hasOtherTarget(service, failed) &&
-        service.retries.tryTake();
+        (isWithoutLoad(verdict) || service.retries.tryTake());
       if (!goOn) {
         // A later try that was not run does not undo an earlier one that may have been.
         return verdict.kind === 'notRun' ? (mayHaveRunBefore ?? verdict) : verdict;
@@ -243,9 +244,13 @@
     const entered = await service.gate.enter({
       deadlineAt,
       caller,
-      accept: (target) => !failed.has(target) && service.links.hasRoom(entryPlace, target.place),
+      accept: (target) =>
+        !failed.has(target) &&
+        service.links.hasRoom(entryPlace, target.place) &&
+        service.shifts.mayEnter(target.place.region),
       onTaken: (target) => {
         service.links.takeRequest(entryPlace, target.place);
+        service.shifts.recordEntry(target.place.region);
       },
     });
     if (entered.isErr()) {
@@ -332,6 +337,11 @@
   }
 }
 
+/** A target that could not be connected to has had no load of the try, so that no budget is needed. */
+function isWithoutLoad(verdict: Verdict): boolean {
+  return verdict.kind === 'notRun' && verdict.reason === 'connect-failed';
+}
+
 /** Learns from how a try ended. */
 function observe(target: Target, verdict: Verdict, milliseconds: number, now: number): void {
   if (verdict.kind === 'answered' && verdict.status < 500) {
--- a/packages/daemon/src/services/service-runtime.ts
+++ b/packages/daemon/src/services/service-runtime.ts
@@ -6,6 +6,7 @@
   RetryBudget,
   ServiceGate,
   slotLimitKey,
+  ShiftLimiter,
   SlotBook,
   TargetSet,
 } from '@ferrylock/steering';
@@ -36,6 +37,7 @@
   readonly targets: TargetSet;
   readonly gate: ServiceGate;
   readonly retries: RetryBudget;
+  readonly shifts: ShiftLimiter;
   readonly #options: ServiceRuntimeOptions;
   readonly #book: SlotBook;
   #declaration: ServiceDeclaration;
@@ -64,6 +66,7 @@
       },
     });
     this.retries = new RetryBudget(clock);
+    this.shifts = new ShiftLimiter(clock, shiftCap(update.declaration, service));
     this.#declaration = declared(update.declaration, service);
     this.#links = update.links;
     this.#distances = update.distances;
@@ -90,6 +93,7 @@
   update({ declaration, drains, distances, links }: ServiceUpdate): void {
     this.#declaration = declared(declaration, this.service);
     this.#links = links;
+    this.shifts.percentPerSecond = shiftCap(declaration, this.service);
     this.#distances = distances;
     this.#book.setDistances(distances);
     this.targets.update(declaration, drains, distances, this.#options.clock.now());
@@ -136,6 +140,14 @@
   }
 }
 
+/** The cap on how fast the service's traffic may move; the lowest where several are declared. */
+function shiftCap(declaration: Declaration, service: string): number | undefined {
+  const caps = Object.values(declaration.shifts)
+    .filter((shift) => shift.service === service)
+    .map((shift) => shift.percentPerSecond);
+  return caps.length === 0 ? undefined : Math.min(...caps);
+}
+
 function declared(declaration: Declaration, service: string): ServiceDeclaration {
   const found = declaration.services[service];
   if (found === undefined) {
--- a/packages/demo/src/summary.ts
+++ b/packages/demo/src/summary.ts
@@ -69,7 +69,7 @@
     account.padEnd(9),
     service.padEnd(13),
     tally.class.padEnd(12),
-    String(latency.totalCount).padStart(8),
+    String(tally.requests).padStart(8),
     String(count('answered')).padStart(8),
     String(count('refused not run')).padStart(8),
     String(count('unknown')).padStart(8),
--- a/packages/demo/src/traffic.ts
+++ b/packages/demo/src/traffic.ts
@@ -6,6 +6,7 @@
 
 const CALLERS_PER_DOMAIN = 2;
 const MICROSECONDS_PER_MILLISECOND = 1_000;
+const WARM_UP_MILLISECONDS = 2_000;
 
 /** How often a service is called, and with how large a body. */
 export interface ServiceLoad {
@@ -20,6 +21,8 @@
   readonly service: string;
   readonly class: string;
   readonly outcomes: Map<CallerOutcome, number>;
+  requests: number;
+  /** Of the requests after the first seconds, in which the code is still being compiled. */
   readonly latency: Histogram;
 }
 
@@ -27,8 +30,10 @@
 export class Traffic {
   readonly tallies: ServiceTally[] = [];
   readonly #callers: Caller[] = [];
+  readonly #loops: Promise<void>[] = [];
   readonly #open = new Set<Promise<void>>();
   #ending = false;
+  #startedAt = 0;
 
   constructor(
     readonly deployment: Deployment,
@@ -43,6 +48,7 @@
   }
 
   start(): void {
+    this.#startedAt = performance.now();
     for (const load of this.loads) {
       const declared = this.deployment.size.services.find(({ name }) => name === load.service);
       const tally: ServiceTally = {
@@ -50,16 +56,18 @@
         service: load.service,
         class: declared?.repeat ?? '',
         outcomes: new Map(),
+        requests: 0,
         latency: build({ numberOfSignificantValueDigits: 2 }),
       };
       this.tallies.push(tally);
-      void this.#run(load, tally);
+      this.#loops.push(this.#run(load, tally));
     }
   }
 
   /** Sends nothing more and waits until every request has its outcome. */
   async end(): Promise<void> {
     this.#ending = true;
+    await Promise.all(this.#loops);
     await Promise.all(this.#open);
     await Promise.all(this.#callers.map((caller) => caller.close()));
   }
@@ -86,7 +94,10 @@
     const startedAt = performance.now();
     const outcome = (await caller?.send(request)) ?? 'cut';
     const microseconds = (performance.now() - startedAt) * MICROSECONDS_PER_MILLISECOND;
-    tally.latency.recordValue(Math.round(microseconds));
+    if (startedAt - this.#startedAt >= WARM_UP_MILLISECONDS) {
+      tally.latency.recordValue(Math.round(microseconds));
+    }
+    tally.requests++;
     tally.outcomes.set(outcome, (tally.outcomes.get(outcome) ?? 0) + 1);
   }
 }
--- a/packages/steering/src/index.ts
+++ b/packages/steering/src/index.ts
@@ -13,6 +13,8 @@
 export type { EntryHost } from './lookup/entry-host-ranking.js';
 export { IssuedKeys, KEY_LIFETIME_MILLISECONDS, parseIssuedKey } from './once/issued-keys.js';
 export type { KeyState, KeyUse } from './once/issued-keys.js';
+export { ShiftLimiter } from './placement/shift-limiter.js';
+export type { RegionShares } from './placement/shift-limiter.js';
 export { RetryBudget } from './retries/retry-budget.js';
 export { slotLimitKey } from './targets/slot-allotment.js';
 export type { SlotAllotment } from './targets/slot-allotment.js';
