feat: operators prove who they are by signed tokens

Cause: any caller of the control listener could change any account. Found by the tests: the client and the peer transport took every error answer for no answer, since a missing result did not pass their schema; a rejected call between daemons counted as lost. Daemons do not yet prove themselves to one another.

--- a/packages/cli/src/operator-client.ts
+++ b/packages/cli/src/operator-client.ts
@@ -16,7 +16,7 @@
 }
 
 const responseSchema = z.object({
-  result: z.unknown(),
+  result: z.unknown().optional(),
   error: z.object({ code: z.number(), message: z.string() }).optional(),
 });
 
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -9,7 +9,8 @@
 import { ControlServer } from './rpc/control-server.js';
 import { HttpPeerTransport } from './rpc/http-peer-transport.js';
 import type { OperatorAuthenticator } from './rpc/operator-authenticator.js';
-import { OpenAuthenticator } from './rpc/operator-authenticator.js';
+import { ClosedAuthenticator, OpenAuthenticator } from './rpc/operator-authenticator.js';
+import { keysFromFile, TokenAuthenticator } from './rpc/token-authenticator.js';
 import type { Settings } from './settings/settings.js';
 
 /** Time in which every other daemon surely hears that this one leaves, and stops naming it. */
@@ -74,7 +75,7 @@
     const traffic = new TrafficServer();
     const control = new ControlServer({
       router,
-      authenticator: this.#parts.authenticator ?? new OpenAuthenticator(),
+      authenticator: this.#parts.authenticator ?? this.#buildAuthenticator(),
     });
     const addresses = {
       traffic: await traffic.listen(listen.traffic),
@@ -153,6 +154,14 @@
     this.#running = undefined;
   }
 
+  #buildAuthenticator(): OperatorAuthenticator {
+    const { keys, allowAnonymous } = this.settings.operators;
+    if (keys !== undefined) {
+      return new TokenAuthenticator(keysFromFile(keys, this.#clock, this.#logger));
+    }
+    return allowAnonymous ? new OpenAuthenticator() : new ClosedAuthenticator();
+  }
+
   #buildAdapters(): Adapters {
     const { platform } = this.settings;
     const store = new EtcdStore({
--- a/packages/daemon/src/rpc/http-peer-transport.ts
+++ b/packages/daemon/src/rpc/http-peer-transport.ts
@@ -11,7 +11,7 @@
 
 const responseSchema = z.object({
   id: z.union([z.number(), z.string(), z.null()]),
-  result: z.unknown(),
+  result: z.unknown().optional(),
   error: z.object({ code: z.number(), message: z.string() }).optional(),
 });
 
--- a/packages/daemon/src/rpc/operator-authenticator.ts
+++ b/packages/daemon/src/rpc/operator-authenticator.ts
@@ -1,5 +1,5 @@
 import type { Result } from 'ts-results-es';
-import { Ok } from 'ts-results-es';
+import { Err, Ok } from 'ts-results-es';
 
 /** What an operator may do. Each role may do what the one before it may. */
 export const operatorRoles = ['reader', 'editor'] as const;
@@ -23,3 +23,10 @@
     return Ok({ subject: 'anonymous', mayActOn: () => true });
   }
 }
+
+/** Refuses everyone: what a daemon does whose settings name no keys. */
+export class ClosedAuthenticator implements OperatorAuthenticator {
+  async authenticate(): Promise<Result<OperatorIdentity, string>> {
+    return Err('operators’ calls are closed: the settings name no keys');
+  }
+}
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -76,6 +76,19 @@
     })
     .prefault({})
     .describe('Answers to look-ups.'),
+  operators: z
+    .strictObject({
+      keys: z
+        .string()
+        .optional()
+        .describe('File with the JSON Web Key Set that operators’ tokens are signed with.'),
+      allowAnonymous: z
+        .boolean()
+        .default(false)
+        .describe('Lets operators’ calls pass without a token. For trials on one machine.'),
+    })
+    .prefault({})
+    .describe('Who may make operators’ calls. Without keys no one may.'),
   memory: z
     .strictObject({
       smallBodyBytes: wholeNumberField(0, 16 * 1024 * 1024)
--- a/packages/demo/src/deployment.ts
+++ b/packages/demo/src/deployment.ts
@@ -108,6 +108,7 @@
         platform: { store, hostList },
         positions,
         lookup: { lifetimeSeconds: LOOKUP_LIFETIME_SECONDS },
+        operators: { allowAnonymous: true },
         log: { level: 'error' },
       });
       const daemon = new Daemon(settings);
