feat: refuse whole tasks under overload, not parts of all of them

Ruled out: DAGOR's cursor; the gate knows its slots and needs no estimate. Change: requests carry a rank, a hash of the header ferrylock-task; when the queue is full the highest rank gives way and hears so at once.

--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -3,6 +3,7 @@
 import { limits } from './benches/limits.js';
 import { lookup } from './benches/lookup.js';
 import { membership } from './benches/membership.js';
+import { overload } from './benches/overload.js';
 import { proxy } from './benches/proxy.js';
 import { spread } from './benches/spread.js';
 import type { Bench } from './report.js';
@@ -14,6 +15,7 @@
   limits,
   lookup,
   membership,
+  overload,
   proxy,
   spread,
 };
--- a/packages/bench/src/choice/divided-slots.ts
+++ b/packages/bench/src/choice/divided-slots.ts
@@ -64,6 +64,7 @@
     const entered = await gate?.enter({
       deadlineAt,
       caller: new Cancellation(),
+      rank: 0,
       accept: () => true,
       onTaken: () => undefined,
     });
--- a/packages/daemon/src/http/headers.ts
+++ b/packages/daemon/src/http/headers.ts
@@ -4,6 +4,8 @@
 export const TIMEOUT_HEADER = 'ferrylock-timeout-ms';
 /** Names a request that must not run twice (IETF draft idempotency-key-header). */
 export const IDEMPOTENCY_KEY_HEADER = 'idempotency-key';
+/** Names the task that a request is part of; its requests are let through or refused together. */
+export const TASK_HEADER = 'ferrylock-task';
 /** Set by an entry host that passes a keyed request to the one that gave the key out. */
 export const FORWARDED_HEADER = 'ferrylock-forwarded';
 /** On a target's answer with status 503: it says that it has not run the request. */
--- a/packages/daemon/src/request/exchange.ts
+++ b/packages/daemon/src/request/exchange.ts
@@ -1,7 +1,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { taskRank } from '@ferrylock/steering';
 import type { Verdict } from '@ferrylock/steering';
 import type { Cancellation } from '@ferrylock/utils';
-import { REQUEST_ID_HEADER } from '../http/headers.js';
+import { REQUEST_ID_HEADER, TASK_HEADER } from '../http/headers.js';
 import { problemAnswer } from '../http/problem.js';
 import type { ServiceRuntime } from '../services/service-runtime.js';
 import type { Attempt } from './attempt.js';
@@ -36,6 +37,12 @@
   return typeof header === 'string' && /^\d{1,9}$/.test(header) ? Number(header) : undefined;
 }
 
+/** The rank of the task that the request names; a request that names none is a task by itself. */
+export function rankOf({ request, requestId }: Progress): number {
+  const task = request.headers[TASK_HEADER];
+  return taskRank(typeof task === 'string' ? task : requestId);
+}
+
 /** Cancels at the target what the caller no longer waits for. */
 export function watchCaller(progress: Progress): () => void {
   const { response, caller } = progress;
--- a/packages/daemon/src/request/request-path.ts
+++ b/packages/daemon/src/request/request-path.ts
@@ -1,12 +1,5 @@
 import type { Membership } from '@ferrylock/control';
-import type {
-  MayHaveRun,
-  NotRun,
-  Place,
-  RefusalReason,
-  Target,
-  Verdict,
-} from '@ferrylock/steering';
+import type { MayHaveRun, NotRun, Place, Target, Verdict } from '@ferrylock/steering';
 import { BytePacer, mayHaveRun, notRun } from '@ferrylock/steering';
 import { Cancellation } from '@ferrylock/utils';
 import type { Clock, Logger } from '@ferrylock/utils';
@@ -22,23 +15,15 @@
 import type { ServiceMetrics } from '../metrics/service-metrics.js';
 import { Attempt } from './attempt.js';
 import type { Exchange, Progress } from './exchange.js';
-import { readTimeout, refuse, watchCaller } from './exchange.js';
+import { rankOf, readTimeout, refuse, watchCaller } from './exchange.js';
 import type { KeyRegister } from './key-register.js';
 import { RequestBody } from './request-body.js';
 import type { TargetClient } from './target-client.js';
+import { isNotRunByTarget, isWithoutLoad, observe } from './verdict-rules.js';
 
 /** Tries at different targets that one request gets at most. */
 const MAXIMUM_ATTEMPTS = 3;
 
-/** Refusals after which the same request may be sent to another target, whatever its class. */
-const NOT_RUN_BY_TARGET: ReadonlySet<RefusalReason> = new Set(['connect-failed', 'target-shed']);
-/** Failures that say something of the target. */
-const TARGET_FAULTS: ReadonlySet<RefusalReason> = new Set([
-  'connect-failed',
-  'target-failed',
-  'deadline',
-]);
-
 export interface RequestPathOptions {
   readonly client: TargetClient;
   readonly keys: KeyRegister;
@@ -244,6 +229,7 @@
     const entered = await service.gate.enter({
       deadlineAt,
       caller,
+      rank: rankOf(progress),
       accept: (target) =>
         !failed.has(target) &&
         service.links.hasRoom(entryPlace, target.place) &&
@@ -313,7 +299,7 @@
     }
     const isFree = progress.service.declaration.repeat === 'free';
     return verdict.kind === 'notRun'
-      ? NOT_RUN_BY_TARGET.has(verdict.reason)
+      ? isNotRunByTarget(verdict)
       : isFree && verdict.reason === 'target-failed';
   }
 
@@ -336,17 +322,3 @@
     }
   }
 }
-
-/** A target that could not be connected to has had no load of the try, so that no budget is needed. */
-function isWithoutLoad(verdict: Verdict): boolean {
-  return verdict.kind === 'notRun' && verdict.reason === 'connect-failed';
-}
-
-/** Learns from how a try ended. */
-function observe(target: Target, verdict: Verdict, milliseconds: number, now: number): void {
-  if (verdict.kind === 'answered' && verdict.status < 500) {
-    target.recordAnswer(milliseconds);
-  } else if (verdict.kind === 'answered' || TARGET_FAULTS.has(verdict.reason)) {
-    target.recordFailure(now);
-  }
-}
--- a/packages/steering/src/admission/service-gate.ts
+++ b/packages/steering/src/admission/service-gate.ts
@@ -19,6 +19,11 @@
   /** Clock reading by which the caller wants the whole answer. */
   readonly deadlineAt: number;
   readonly caller: Cancellation;
+  /**
+   * From 0 to 1, the same for all requests of one task. When not all can be done, those with the
+   * highest rank give way, so that whole tasks are refused and not parts of all of them.
+   */
+  readonly rank: number;
   /** Whether the target may be taken now, apart from its slots. */
   readonly accept: (target: Target) => boolean;
   /** Called in the same turn in which the target is taken. */
@@ -36,6 +41,8 @@
 export interface ServiceGateOptions {
   readonly book: SlotBook;
   readonly clock: Clock;
+  /** Most requests that wait; by default a few for each usable slot. */
+  readonly queueLimit?: number | undefined;
   /** Whether any target is open at all. */
   readonly hasOpenTarget: () => boolean;
   /** Called when requests wait and no slot is free here. */
@@ -82,7 +89,7 @@
       this.#queueTime.add(0);
       return Promise.resolve(Ok(taken));
     }
-    const refusal = this.#refusalOnEntry(request);
+    const refusal = this.#makeRoom(request);
     if (refusal !== undefined) {
       return Promise.resolve(Err(refusal));
     }
@@ -127,15 +134,37 @@
     return target;
   }
 
-  #refusalOnEntry(request: GateRequest): NotRun | undefined {
+  /** Refuses the request, or one that waits and has to give way to it, where the queue is full. */
+  #makeRoom(request: GateRequest): NotRun | undefined {
     if (!this.#options.hasOpenTarget()) {
       return notRun('no-target', 'no target of the service is open', 1);
     }
+    const refusal = this.#refusalWhenFull(request);
+    const worst = refusal === undefined ? undefined : this.#highestRanked();
+    if (refusal === undefined || worst === undefined || worst.request.rank <= request.rank) {
+      return refusal;
+    }
+    this.#queue.splice(this.#queue.indexOf(worst), 1);
+    worst.settled.abort();
+    worst.resolve(Err(refusal));
+    return undefined;
+  }
+
+  #highestRanked(): Waiting | undefined {
+    return this.#queue.reduce<Waiting | undefined>(
+      (worst, waiting) =>
+        worst === undefined || waiting.request.rank > worst.request.rank ? waiting : worst,
+      undefined,
+    );
+  }
+
+  #refusalWhenFull(request: GateRequest): NotRun | undefined {
     const remaining = request.deadlineAt - this.#options.clock.now();
     const usable = Math.max(1, this.#options.book.usableSlots());
     const serviceTime = this.#serviceTime.value ?? 0;
     const wait = (this.#queue.length * serviceTime) / usable;
-    const queueLimit = Math.max(SMALLEST_QUEUE, QUEUE_PER_SLOT * usable);
+    const queueLimit =
+      this.#options.queueLimit ?? Math.max(SMALLEST_QUEUE, QUEUE_PER_SLOT * usable);
     if (this.#queue.length >= queueLimit || wait + serviceTime > remaining) {
       return notRun('overload', 'the service has no room in time', Math.ceil(wait / 1_000) + 1);
     }
--- a/packages/steering/src/index.ts
+++ b/packages/steering/src/index.ts
@@ -1,6 +1,7 @@
 export { isWorthAskingAt } from './admission/far-slots.js';
 export { ServiceGate } from './admission/service-gate.js';
 export type { GateRequest } from './admission/service-gate.js';
+export { taskRank } from './admission/task-rank.js';
 export { BytePacer } from './limits/byte-pacer.js';
 export { LinkLimits, linkLimitKey } from './limits/link-limits.js';
 export type { RateAllotment } from './limits/rate-allotment.js';
