feat: measure keys and drains

Cause: what a key costs and how soon a target is empty had not been measured. Change: benches once and drain.

--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -1,8 +1,10 @@
 import { capacity } from './benches/capacity.js';
 import { choice } from './benches/choice.js';
+import { drain } from './benches/drain.js';
 import { limits } from './benches/limits.js';
 import { lookup } from './benches/lookup.js';
 import { membership } from './benches/membership.js';
+import { once } from './benches/once.js';
 import { overload } from './benches/overload.js';
 import { proxy } from './benches/proxy.js';
 import { spread } from './benches/spread.js';
@@ -12,9 +14,11 @@
 export const benches: Readonly<Record<string, Bench>> = {
   capacity,
   choice,
+  drain,
   limits,
   lookup,
   membership,
+  once,
   overload,
   proxy,
   spread,
--- a/packages/bench/src/single-daemon.ts
+++ b/packages/bench/src/single-daemon.ts
@@ -1,5 +1,6 @@
 import { Daemon, settingsSchema } from '@ferrylock/daemon';
 import { declarationSchema } from '@ferrylock/schema';
+import type { DaemonParts } from '@ferrylock/daemon';
 import type { DeclarationInput } from '@ferrylock/schema';
 import { FakeStore, KeyValueEngine } from '@ferrylock/test-utils';
 import { silentLogger, SystemClock } from '@ferrylock/utils';
@@ -8,7 +9,10 @@
 const SETTLE_MILLISECONDS = 100;
 
 /** Starts one daemon that serves a declaration by itself, with an in-memory store. */
-export async function startSingleDaemon(declaration: DeclarationInput): Promise<Daemon> {
+export async function startSingleDaemon(
+  declaration: DeclarationInput,
+  parts: DaemonParts = {},
+): Promise<Daemon> {
   const settings = settingsSchema.parse({
     host: { id: 'entry-1', region: 'fyn', failureDomain: 'fyn-1' },
     listen: { traffic: '127.0.0.1:0', control: '127.0.0.1:0' },
@@ -21,6 +25,7 @@
     logger: silentLogger,
     store,
     hostDirectory: { list: () => Promise.resolve(Ok([])) },
+    ...parts,
   });
   await daemon.start();
   const { replica, sync, positions } = daemon.components;
--- a/packages/test-utils/src/target-stand-in.ts
+++ b/packages/test-utils/src/target-stand-in.ts
@@ -77,8 +77,8 @@
   }
 
   /** Listens on a free port, or on the one it had before, and returns it. */
-  async start(port = 0): Promise<number> {
-    await new Promise<void>((resolve) => this.#server.listen(port, '127.0.0.1', resolve));
+  async start(port = 0, address = '127.0.0.1'): Promise<number> {
+    await new Promise<void>((resolve) => this.#server.listen(port, address, resolve));
     return (this.#server.address() as AddressInfo).port;
   }
 
