fix: lend a slot only while all work under way is borne by what lasts

Cause: reading SlotLoans again: a slot of its own could be lent while a request counted against a borrowed one whose loan ends before the request may; after that end a target had one request too many. Loans were returned in the order of borrowing, so that the one kept could be the shorter. Change: spare slots are reckoned by loans that outlast the longest deadline; returns begin with the loan that ends first.

--- a/packages/bench/src/choice/divided-slots.ts
+++ b/packages/bench/src/choice/divided-slots.ts
@@ -144,7 +144,7 @@
       isWorthAsking: (place) =>
         isWorthAskingAt(gate, place.region === region, distances.milliseconds(entryPlace, place)),
       limitKey: (target) => slotLimitKey(ACCOUNT, SERVICE, target),
-      spareSlots: () => book.spareSlots(),
+      spareSlots: () => book.spareSlots(clock.now() + this.#setting.deadlineMilliseconds),
       unusedSlots: (name) => {
         const target = targets.get(name);
         return target === undefined ? 0 : book.unusedSlots(target);
--- a/packages/control/src/allotments/slot-loans.ts
+++ b/packages/control/src/allotments/slot-loans.ts
@@ -142,7 +142,10 @@
       return;
     }
     let left = unused;
-    for (const loan of this.#options.ledger.borrowedLoans(borrower.limitKey(target))) {
+    const loans = this.#options.ledger.borrowedLoans(borrower.limitKey(target));
+    // Those that end first go first: what stays has to outlast the work that is under way.
+    loans.sort((a, b) => a.until - b.until);
+    for (const loan of loans) {
       if (borrower.waiting > 0 && this.#isReusable(borrower, loan)) {
         this.#prolongInTime(state, loan);
       } else if (loan.units <= left) {
--- a/packages/daemon/src/services/service-runtime.ts
+++ b/packages/daemon/src/services/service-runtime.ts
@@ -127,7 +127,7 @@
   }
 
   spareSlots(): readonly { readonly target: string; readonly units: number }[] {
-    return this.#book.spareSlots();
+    return this.#book.spareSlots(this.#options.clock.now() + this.longestDeadlineMilliseconds);
   }
 
   unusedSlots(target: string): number {
--- a/packages/steering/src/targets/slot-book.ts
+++ b/packages/steering/src/targets/slot-book.ts
@@ -70,12 +70,15 @@
       .reduce((sum, target) => sum + this.#usable(target, now), 0);
   }
 
-  /** Own slots that are neither in use nor lent, those of far targets first. */
-  spareSlots(): { target: string; units: number }[] {
+  /**
+   * Own slots that are neither in use nor lent, those of far targets first. Borrowed slots bear work
+   * only if their loans last until the given clock reading, by which all work begun now has ended.
+   */
+  spareSlots(until: number): { target: string; units: number }[] {
     const now = this.#options.clock.now();
     const spare = this.#options.targets.open(now).map((target) => {
       const owned = this.#options.allotment.lendable(target.limitKey);
-      const unused = this.#usable(target, now) - target.inFlight;
+      const unused = this.#usable(target, until) - target.inFlight;
       return {
         target: target.name,
         units: Math.max(0, Math.min(owned, unused)),
