--- a/packages/daemon/src/http/traffic-server.ts
+++ b/packages/daemon/src/http/traffic-server.ts
@@ -146,9 +146,13 @@
 
   async #forward(request: FastifyRequest, reply: FastifyReply): Promise<void> {
     const options = this.#ready();
-    const route = options === undefined ? notReady() : this.#route(request, options.directory);
-    if (options === undefined || 'kind' in route) {
-      sendRefusal(reply, 'kind' in route ? route : notReady());
+    if (options === undefined) {
+      sendRefusal(reply, notReady());
+      return;
+    }
+    const route = findRoute(request, options.directory);
+    if ('kind' in route) {
+      sendRefusal(reply, route);
       return;
     }
     reply.hijack();
@@ -165,25 +169,28 @@
   #ready(): TrafficServerOptions | undefined {
     return this.#attached?.sync.ready === true ? this.#attached : undefined;
   }
+}
 
-  /** The service that a request is for: by its path prefix, else by its host name. */
-  #route(
-    request: FastifyRequest,
-    directory: ServiceDirectory,
-  ): { service: ServiceRuntime; path: string } | NotRun {
-    const url = request.raw.url ?? '/';
-    if (!url.startsWith(PATH_PREFIX)) {
-      const service = directory.byHostHeader(request.headers.host ?? '');
-      return service === undefined
-        ? notRun('unknown-service', 'neither the path nor the host name belongs to a service')
-        : { service, path: url };
-    }
-    const [, account = '', name = '', path = '/', query = ''] = PREFIXED_PATH.exec(url) ?? [];
-    const service = directory.service(account, name);
+/** A service with the path that its target is to see. */
+interface Route {
+  readonly service: ServiceRuntime;
+  readonly path: string;
+}
+
+/** The service that a request is for: by its path prefix, else by its host name. */
+function findRoute(request: FastifyRequest, directory: ServiceDirectory): Route | NotRun {
+  const url = request.raw.url ?? '/';
+  if (!url.startsWith(PATH_PREFIX)) {
+    const service = directory.byHostHeader(request.headers.host ?? '');
     return service === undefined
-      ? unknownService(account, name)
-      : { service, path: `${path}${query}` };
+      ? notRun('unknown-service', 'neither the path nor the host name belongs to a service')
+      : { service, path: url };
   }
+  const [, account = '', name = '', path = '/', query = ''] = PREFIXED_PATH.exec(url) ?? [];
+  const service = directory.service(account, name);
+  return service === undefined
+    ? unknownService(account, name)
+    : { service, path: `${path}${query}` };
 }
 
 function notReady(): NotRun {
