test: give the daemon's tests time on a loaded machine

Cause: three copies of the suite at once made a call of 200 ms time out. Change: deadlines are short only where a test waits for one.

--- a/packages/daemon/tests/daemon-fixture.ts
+++ b/packages/daemon/tests/daemon-fixture.ts
@@ -130,7 +130,12 @@
   }
 
   async #declare(): Promise<void> {
-    const { targets = 1, slots = 4, repeat = 'free', deadlineMilliseconds = 2_000 } = this.#options;
+    const {
+      targets = 1,
+      slots = 4,
+      repeat = 'free',
+      deadlineMilliseconds = 20_000,
+    } = this.#options;
     const declared: Record<string, unknown> = {};
     for (let index = 0; index < targets; index++) {
       const target = new TargetStandIn({ slots, ...this.#options.target });
--- a/packages/daemon/tests/request-faults.test.ts
+++ b/packages/daemon/tests/request-faults.test.ts
@@ -73,7 +73,8 @@
     const running = await start({
       targets: 2,
       repeat: cell.repeat,
-      deadlineMilliseconds: 400,
+      // Only a target that hangs makes the test wait for the deadline.
+      deadlineMilliseconds: cell.fault === 'hang' ? 600 : 20_000,
       target: { answerBytes: 100_000 },
     });
     if (cell.fault === 'refused') {
@@ -89,7 +90,7 @@
   });
 
   it('that may have run it is not undone by a later try that was not run', async () => {
-    const running = await start({ targets: 2, deadlineMilliseconds: 400 });
+    const running = await start({ targets: 2 });
     const [first, second] = running.targets;
     if (first !== undefined && second !== undefined) {
       first.behaviour = 'resetAfterReading';
@@ -125,8 +126,8 @@
   });
 
   it('a remaining time that is too short is kept to', async () => {
-    const running = await start({ target: { serviceMilliseconds: () => 500 } });
-    const seen = await send(running.url(), { headers: { 'ferrylock-timeout-ms': '50' } });
+    const running = await start({ target: { serviceMilliseconds: () => 8_000 } });
+    const seen = await send(running.url(), { headers: { 'ferrylock-timeout-ms': '1500' } });
     expect(seen).toMatchObject({ status: 504, ran: 'unknown', reason: 'deadline' });
   });
 
--- a/packages/daemon/tests/rpc/http-peer-transport.test.ts
+++ b/packages/daemon/tests/rpc/http-peer-transport.test.ts
@@ -21,12 +21,13 @@
 function call(
   address: string,
   params: unknown = { account: 'atec' },
+  timeoutMilliseconds = 20_000,
 ): ReturnType<HttpPeerTransport['call']> {
   return transport.call({
     address,
     method: 'configuration.generation',
     params,
-    timeoutMilliseconds: 200,
+    timeoutMilliseconds,
   });
 }
 
@@ -46,7 +47,7 @@
 
   it('tells lost for a peer that does not answer in time', async () => {
     const address = await startPeer(() => new Promise(() => undefined));
-    expect((await call(address)).unwrapErr().kind).toBe('lost');
+    expect((await call(address, undefined, 200)).unwrapErr().kind).toBe('lost');
   });
 
   it('tells refused where nothing listens', async () => {
