fix: spread the callers of an account with few blocks over all its entry hosts

Cause: the demonstration's metrics showed daemons without a request: the order of hosts depended on the caller's block alone, so that six blocks gave all callers to six of twelve hosts. Change: an account has at least 512 groups of callers, by block and address, each with its own order. Conclusion: today's few blocks use all hosts; at the target size the blocks alone are groups enough.

--- a/packages/daemon/src/services/account-runtime.ts
+++ b/packages/daemon/src/services/account-runtime.ts
@@ -80,6 +80,11 @@
     return limits;
   }
 
+  /** Client blocks that the account has declared. */
+  get blockCount(): number {
+    return this.#blockPlaces.length;
+  }
+
   /** The client block that holds the address, as a number for caching, with its place. */
   findBlock(address: string): { block: number; place: Place | undefined } {
     const block = this.#blocks.find(address);
--- a/packages/daemon/src/services/lookup-service.ts
+++ b/packages/daemon/src/services/lookup-service.ts
@@ -3,12 +3,15 @@
 import type { LookupResult } from '@ferrylock/schema';
 import type { EntryHost, Place } from '@ferrylock/steering';
 import { rankEntryHosts } from '@ferrylock/steering';
+import { stableHash } from '@ferrylock/utils';
 import { LRUCache } from 'lru-cache';
 import type { AccountRuntime } from './account-runtime.js';
 import type { ServiceDirectory } from './service-directory.js';
 
 /** Answers kept ready: one for each block, service and state of the membership. */
 const CACHED_ANSWERS = 50_000;
+/** Groups of callers that an account has at least; each group has an order of hosts of its own. */
+const CALLER_GROUPS = 512;
 /** Nearest hosts among which a block's own order is made, for each host in an answer. */
 const CANDIDATES_PER_HOST = 8;
 
@@ -40,12 +43,15 @@
     }
     this.#dropOutdated();
     const { block, place } = runtime.findBlock(address);
-    const key = `${account} ${service} ${block}`;
+    // An account with few blocks would otherwise have all its callers at as few hosts.
+    const groups = Math.ceil(CALLER_GROUPS / Math.max(1, runtime.blockCount));
+    const group = groups === 1 ? 0 : stableHash(address) % groups;
+    const key = `${account} ${service} ${block} ${group}`;
     const known = this.#answers.get(key);
     if (known !== undefined) {
       return known;
     }
-    const text = JSON.stringify(this.#rank(runtime, service, block, place));
+    const text = JSON.stringify(this.#rank(runtime, service, `${block} ${group}`, place));
     this.#answers.set(key, text);
     return text;
   }
@@ -59,14 +65,14 @@
   #rank(
     runtime: AccountRuntime,
     service: string,
-    block: number,
+    callerGroup: string,
     callerPlace: Place | undefined,
   ): LookupResult {
     const { hostsInAnswer, lifetimeSeconds } = this.#options;
     const hosts = rankEntryHosts({
       hosts: this.#candidates(runtime, callerPlace),
       callerPlace,
-      stickyKey: `${runtime.account} ${block}`,
+      stickyKey: `${runtime.account} ${callerGroup}`,
       distances: runtime.distances,
       maximum: hostsInAnswer,
     });
--- a/packages/daemon/tests/request-faults.test.ts
+++ b/packages/daemon/tests/request-faults.test.ts
@@ -202,6 +202,17 @@
     expect(seen).toMatchObject({ status: 431, ran: 'no' });
   });
 
+  it('look-ups spread the callers of an account with few blocks over its entry hosts', async () => {
+    const running = await start({ daemons: 2 });
+    const { lookup } = running.daemon.components;
+    const first = Array.from(
+      { length: 100 },
+      (_, index) => lookup.lookup('atec', 'desk', `10.0.0.${index}`)?.entryHosts[0]?.id,
+    );
+    const shares = ['entry-0', 'entry-1'].map((id) => first.filter((host) => host === id).length);
+    expect(Math.min(...shares)).toBeGreaterThan(25);
+  });
+
   it('look-ups name the entry hosts with a lifetime', async () => {
     const running = await start({ daemons: 2 });
     const { traffic } = running.daemon.addresses;
