fix: start no try after the deadline has passed

Cause: read once more: the deadline's timer acts on the try that is under way. Should it fire between two tries, or in the turn in which a waiting request gets its slot, the next try had no end of its own. Change: a try is not begun once the time is over; nothing has been sent then, so it is not run. Measured: 44 tests of the request path pass; the moment itself was not brought about by a test. Conclusion: a hole closed by argument; it wants a test with a fake clock before the request path.

--- a/packages/daemon/src/request/request-path.ts
+++ b/packages/daemon/src/request/request-path.ts
@@ -260,6 +260,10 @@
     if (progress.caller.isCancelled) {
       return Promise.resolve(notRun('caller-gone', 'the caller went away while waiting'));
     }
+    if (clock.now() >= progress.deadlineAt) {
+      // The deadline's timer has fired while no try was under way, and would not end this one.
+      return Promise.resolve(notRun('deadline', 'the time was over before a target was asked', 1));
+    }
     const buckets = service.links.byteBuckets(entryPlace, target.place);
     const pacer = buckets.length > 0 ? new BytePacer(buckets, clock) : undefined;
     const pace = pacer && ((bytes: number) => pacer.pass(bytes, progress.caller.signal));
