feat: entry host on the users' platform: routes, affinity, few watchers, reports between hosts

Cause: the product had no routes by host and prefix, no choice by affinity and no store by polling. Change: packages routing (decisions) and entry (the process), platform/ (names, formats, calls).

--- /dev/null
+++ b/packages/entry/src/entry-host-settings.ts
@@ -0,0 +1,26 @@
+import type { RetryBound } from '@ferrylock/routing';
+
+/** What an entry host is told when it starts. */
+export interface EntryHostSettings {
+  readonly name: string;
+  readonly failureDomain: string;
+  readonly region: string;
+  /** Region of each failure domain. */
+  readonly regions: Readonly<Record<string, string>>;
+  readonly trafficAddress: string;
+  readonly controlAddress: string;
+  readonly reportAddress: string;
+  /** Control addresses of hosts that may be asked while nothing is known. */
+  readonly seedAddresses: readonly string[];
+  /** What it can carry, in cores. */
+  readonly capacity: number;
+  /** Bytes of callers' bodies that are held at a time. */
+  readonly mostHeldBodyBytes: number;
+  /** How long a planned stop may take. */
+  readonly stopMilliseconds: number;
+  /** How long a leaving target serves on after it said so. */
+  readonly drainMilliseconds: number;
+  readonly retryBound: RetryBound;
+  /** Longest that callers use a directory answer. */
+  readonly longestDirectoryLifetimeMilliseconds: number;
+}
--- /dev/null
+++ b/packages/entry/src/entry-host.ts
@@ -0,0 +1,255 @@
+import { randomUUID } from 'node:crypto';
+import { BackgroundTasks } from '@ferrylock/utils';
+import type { Clock, Random } from '@ferrylock/utils';
+import { Directory } from './directory.js';
+import type { DirectoryAnswer } from './directory.js';
+import type { EventLog } from './events.js';
+import type { EntryHostRecord } from './fleet/fleet-record.js';
+import type { FleetStore } from './fleet/fleet-store.js';
+import { FleetView } from './fleet/fleet-view.js';
+import { HostRegistration } from './fleet/host-registration.js';
+import { StoreHealth } from './fleet/store-health.js';
+import { StoreWatch } from './fleet/store-watch.js';
+import type { EntryHostSettings } from './entry-host-settings.js';
+import { PeerClient } from './peers/peer-client.js';
+import { PeerExchange } from './peers/peer-exchange.js';
+import { PeerLoads } from './peers/peer-loads.js';
+import { PeerTable } from './peers/peer-table.js';
+import { BodyReader } from './request/body-reader.js';
+import type { HeaderDialect } from './request/dialect.js';
+import { RequestForwarder } from './request/request-forwarder.js';
+import { RequestMetrics } from './request/request-metrics.js';
+import { TargetClient } from './request/target-client.js';
+import { RoutingState } from './routing/routing-state.js';
+import { ControlServer } from './servers/control-server.js';
+import { FrontServer } from './servers/front-server.js';
+import { metricsText } from './metrics-text.js';
+import { WatchDuty } from './watch-duty.js';
+
+/** Time between two looks at what has fallen silent or vanished. */
+const SWEEP_MILLISECONDS = 100;
+/** Time between two summaries in the log. */
+const SUMMARY_MILLISECONDS = 5_000;
+/** Time between two looks at whether all requests in flight have ended. */
+const DRAIN_CHECK_MILLISECONDS = 20;
+/** Time at the end of a planned stop that is left for closing. */
+const CLOSING_MILLISECONDS = 400;
+/** Part of the time for a stop during which new connections are still taken. */
+const SERVING_SHARE = 0.6;
+/** A gap in running that is worth a line: far above what a busy host shows. */
+const PAUSE_NOTICED_MILLISECONDS = 700;
+/** Pause between two rounds of asking the seeds while nothing is known. */
+const SEED_PAUSE_MILLISECONDS = 300;
+
+export interface EntryHostOptions {
+  readonly settings: EntryHostSettings;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly events: EventLog;
+  readonly store: FleetStore;
+  readonly dialect: HeaderDialect;
+}
+
+/** One entry host's process: callers' requests, the directory, and its part in what all share. */
+export class EntryHost {
+  readonly incarnation = randomUUID().slice(0, 8);
+  readonly metrics = new RequestMetrics();
+  readonly view = new FleetView();
+  readonly state: RoutingState;
+  readonly #options: EntryHostOptions;
+  readonly #tasks: BackgroundTasks;
+  readonly #health: StoreHealth;
+  readonly #peers: PeerTable;
+  readonly #peerClient = new PeerClient();
+  readonly #client = new TargetClient();
+  readonly #exchange: PeerExchange;
+  readonly #watch: StoreWatch;
+  readonly #directory: Directory;
+  readonly #front: FrontServer;
+  readonly #control: ControlServer;
+  #registration: HostRegistration | undefined;
+  #own: EntryHostRecord | undefined;
+  #isLeaving = false;
+
+  constructor(options: EntryHostOptions) {
+    this.#options = options;
+    const { settings, clock, events } = options;
+    const { view } = this;
+    this.#tasks = new BackgroundTasks(events.logger);
+    this.#health = new StoreHealth(clock, events);
+    this.#peers = new PeerTable(clock, events);
+    this.state = new RoutingState({
+      ...settings,
+      clock,
+      events,
+      view,
+      ownRegion: settings.region,
+      storeReturnedAt: () => this.#health.returnedAt,
+    });
+    const loads = new PeerLoads(this.state, this.#peers);
+    this.#exchange = new PeerExchange({
+      ...options,
+      view,
+      peers: this.#peers,
+      client: this.#peerClient,
+      inFlight: () => loads.ownInFlight(),
+      isLeaving: () => this.#isLeaving,
+    });
+    const duty = new WatchDuty({ clock, view, peers: this.#peers, ownName: settings.name });
+    this.#watch = new StoreWatch({
+      ...options,
+      view,
+      health: this.#health,
+      isNeeded: () => duty.isNeeded,
+    });
+    this.#directory = new Directory({
+      view,
+      peers: this.#peers,
+      own: () => (this.#isLeaving ? undefined : this.#own),
+      longestLifetimeMilliseconds: settings.longestDirectoryLifetimeMilliseconds,
+    });
+    const forwarder = new RequestForwarder({
+      ...options,
+      view,
+      state: this.state,
+      client: this.#client,
+      bodies: new BodyReader(settings.mostHeldBodyBytes),
+      metrics: this.metrics,
+      ownName: settings.name,
+      hosts: () => this.#hostNames(),
+    });
+    this.#front = new FrontServer({
+      handle: (request, response, path) => forwarder.handle(request, response, path),
+      onFailure: (error) => {
+        events.logger.error('request handler failed', { error: String(error) });
+      },
+    });
+    this.#control = new ControlServer({
+      exchange: this.#exchange,
+      metricsText: () => metricsText(this.metrics),
+    });
+    this.state.onLimits((limits) => {
+      this.#front.setLimits(limits);
+    });
+  }
+
+  /** Whether callers are to be sent here. */
+  get isReady(): boolean {
+    return this.state.active !== undefined && !this.#isLeaving && this.#own !== undefined;
+  }
+
+  /** Which entry hosts a caller of this region is to use. */
+  directoryAnswer(region: string): DirectoryAnswer {
+    return this.#directory.answer(region);
+  }
+
+  /** Listens and begins to learn; requests are refused until a configuration is known. */
+  async start(): Promise<void> {
+    const { settings, events } = this.#options;
+    const reportAddress = await this.#exchange.listen(settings.reportAddress);
+    const controlAddress = await this.#control.listen(settings.controlAddress);
+    const trafficAddress = await this.#front.listen(settings.trafficAddress);
+    const { name, failureDomain, region, capacity } = settings;
+    const own = {
+      name,
+      incarnation: this.incarnation,
+      failureDomain,
+      region,
+      trafficAddress,
+      controlAddress,
+      reportAddress,
+      capacity,
+    };
+    this.#own = own;
+    this.#watch.start();
+    this.#exchange.start(own);
+    this.#registration = new HostRegistration({ ...this.#options, host: own });
+    this.#registration.start();
+    this.#tasks.start('seeds', (signal) => this.#askSeeds(signal));
+    this.#tasks.start('sweep', (signal) => this.#sweep(signal));
+    this.#tasks.start('summary', (signal) => this.#summarise(signal));
+    const startMilliseconds = Math.round(process.uptime() * 1_000);
+    events.write({ event: 'started', incarnation: this.incarnation, startMilliseconds });
+  }
+
+  /**
+   * Planned stop: the directory stops naming this host, it serves on while callers may still come,
+   * then closes idle connections and lets requests in flight end.
+   *
+   * @returns requests that were cut at the end of the time for a stop
+   */
+  async stop(): Promise<number> {
+    const { settings, clock, events } = this.#options;
+    const stopAt = clock.now() + settings.stopMilliseconds;
+    events.write({ event: 'stopping', inFlight: this.metrics.inFlight });
+    this.#isLeaving = true;
+    this.#front.beginLeaving();
+    this.#exchange.report();
+    const withdrawn = this.#registration?.stop();
+    await clock.sleep(settings.stopMilliseconds * SERVING_SHARE);
+    this.#front.closeIdle();
+    while (this.metrics.inFlight > 0 && clock.now() < stopAt - CLOSING_MILLISECONDS) {
+      await clock.sleep(DRAIN_CHECK_MILLISECONDS);
+    }
+    const cut = this.metrics.inFlight;
+    events.write({ event: 'stopped', cut });
+    await Promise.race([withdrawn, clock.sleep(CLOSING_MILLISECONDS)]);
+    await this.close();
+    return cut;
+  }
+
+  /** Ends everything at once. */
+  async close(): Promise<void> {
+    await Promise.all([this.#tasks.stop(), this.#watch.stop(), this.#exchange.stop()]);
+    await Promise.all([this.#front.close(), this.#control.close()]);
+    await Promise.all([this.#client.close(), this.#peerClient.close()]);
+  }
+
+  #hostNames(): string[] {
+    return [this.#options.settings.name, ...this.#peers.alive.map(({ name }) => name)];
+  }
+
+  /** Learns from the seeds while nothing is known, as when the store is away. */
+  async #askSeeds(signal: AbortSignal): Promise<void> {
+    const { settings, clock } = this.#options;
+    const seeds = settings.seedAddresses.filter((address) => address !== settings.controlAddress);
+    while (!signal.aborted && this.view.isEmpty && seeds.length > 0) {
+      await clock.sleep(SEED_PAUSE_MILLISECONDS, signal);
+      for (const seed of seeds) {
+        if (this.view.isEmpty) {
+          await this.#exchange.fetchFrom(seed);
+        }
+      }
+    }
+  }
+
+  async #sweep(signal: AbortSignal): Promise<void> {
+    const { clock, events } = this.#options;
+    let before = clock.now();
+    while (!signal.aborted) {
+      await clock.sleep(SWEEP_MILLISECONDS, signal);
+      const now = clock.now();
+      const paused = now - before - SWEEP_MILLISECONDS;
+      if (paused > PAUSE_NOTICED_MILLISECONDS) {
+        events.write({ event: 'paused', milliseconds: Math.round(paused) });
+      }
+      before = now;
+      this.#peers.sweep();
+      this.state.sweep();
+    }
+  }
+
+  async #summarise(signal: AbortSignal): Promise<void> {
+    const { clock, events } = this.#options;
+    let writtenAt = clock.now();
+    while (!signal.aborted) {
+      await clock.sleep(1_000, signal);
+      events.refill();
+      if (clock.now() - writtenAt >= SUMMARY_MILLISECONDS) {
+        writtenAt = clock.now();
+        const { answered, inFlight } = this.metrics;
+        events.write({ event: 'summary', answered, dropped: events.dropped, inFlight });
+      }
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/events.ts
@@ -0,0 +1,149 @@
+import type { Logger } from '@ferrylock/utils';
+import { z } from 'zod';
+
+/** Fields that each line about a request has. */
+const requestFields = {
+  requestId: z.string(),
+  route: z.string().optional(),
+  /** Version of the configuration that it was treated by. */
+  version: z.number().optional(),
+};
+
+/**
+ * Every line that an entry host writes. One event stands for one decision or one change of what
+ * the host believes; its fields are the inputs that decided it.
+ */
+export const eventSchema = z.discriminatedUnion('event', [
+  /** The process serves. */
+  z.object({
+    event: z.literal('started'),
+    incarnation: z.string(),
+    startMilliseconds: z.number(),
+  }),
+  /** A planned stop has begun. */
+  z.object({ event: z.literal('stopping'), inFlight: z.number() }),
+  /** A planned stop is over. */
+  z.object({ event: z.literal('stopped'), cut: z.number() }),
+  /** The settings were read again. */
+  z.object({ event: z.literal('reloaded') }),
+  /** The process did not run for a while. */
+  z.object({ event: z.literal('paused'), milliseconds: z.number() }),
+  /** A call to the store failed, and the one before had not. */
+  z.object({ event: z.literal('store-lost'), call: z.string(), detail: z.string() }),
+  /** The store answers again. */
+  z.object({ event: z.literal('store-regained'), lostMilliseconds: z.number() }),
+  /** What the host believes of the store's content has moved on. */
+  z.object({
+    event: z.literal('view'),
+    source: z.string(),
+    revision: z.number(),
+    changes: z.array(z.string()),
+  }),
+  /** A record could not be decoded and is left out. */
+  z.object({ event: z.literal('bad-record'), key: z.string(), detail: z.string() }),
+  /** A configuration is in force. */
+  z.object({ event: z.literal('configuration'), version: z.number(), routes: z.number() }),
+  /** Another entry host is heard from, or no longer. */
+  z.object({
+    event: z.literal('peer'),
+    peer: z.string(),
+    incarnation: z.string(),
+    alive: z.boolean(),
+    silentMilliseconds: z.number(),
+  }),
+  /** A target may be chosen, or no longer, and why. */
+  z.object({
+    event: z.literal('target'),
+    target: z.string(),
+    service: z.string(),
+    state: z.enum([
+      'added',
+      'draining',
+      'vanished',
+      'returned',
+      'removed',
+      'failing',
+      'distrusted',
+    ]),
+    detail: z.string().optional(),
+  }),
+  /** One send to one target ended without a usable answer. */
+  z.object({
+    event: z.literal('try-failed'),
+    ...requestFields,
+    target: z.string(),
+    attempt: z.number(),
+    milliseconds: z.number(),
+    ran: z.enum(['no', 'unknown']),
+    reason: z.string(),
+    detail: z.string(),
+    /** Requests that the target was taken to have. */
+    load: z.number(),
+    beliefAgeMilliseconds: z.number(),
+  }),
+  /** A request got no target's answer. */
+  z.object({
+    event: z.literal('refused'),
+    ...requestFields,
+    status: z.number(),
+    ran: z.enum(['no', 'unknown']),
+    reason: z.string(),
+    detail: z.string(),
+    attempts: z.number(),
+    milliseconds: z.number(),
+    beliefAgeMilliseconds: z.number(),
+  }),
+  /** A request was answered by a target, but late or after more than one try. */
+  z.object({
+    event: z.literal('answered'),
+    ...requestFields,
+    status: z.number(),
+    target: z.string(),
+    attempts: z.number(),
+    milliseconds: z.number(),
+    load: z.number(),
+  }),
+  /** Ordinary answers since the last such line. */
+  z.object({
+    event: z.literal('summary'),
+    answered: z.number(),
+    dropped: z.number(),
+    inFlight: z.number(),
+  }),
+]);
+
+export type EntryEvent = z.infer<typeof eventSchema>;
+
+/** Lines about requests that are written in a second; more are counted and left out. */
+const MOST_REQUEST_LINES_PER_SECOND = 50;
+
+const REQUEST_EVENTS: ReadonlySet<EntryEvent['event']> = new Set([
+  'try-failed',
+  'refused',
+  'answered',
+]);
+
+/** Writes events as JSON lines, those about requests at a bounded rate. */
+export class EventLog {
+  /** Lines left out so far. */
+  dropped = 0;
+  #linesLeft = MOST_REQUEST_LINES_PER_SECOND;
+
+  constructor(readonly logger: Logger) {}
+
+  write({ event, ...fields }: EntryEvent): void {
+    if (REQUEST_EVENTS.has(event)) {
+      if (this.#linesLeft <= 0) {
+        this.dropped++;
+        return;
+      }
+      this.#linesLeft--;
+    }
+    this.logger.info(event, fields);
+  }
+
+  /** A second has passed. */
+  refill(): void {
+    this.#linesLeft = MOST_REQUEST_LINES_PER_SECOND;
+  }
+}
--- /dev/null
+++ b/packages/entry/src/fleet/store-health.ts
@@ -0,0 +1,37 @@
+import type { Clock } from '@ferrylock/utils';
+import type { EventLog } from '../events.js';
+
+/** Whether the store answers this entry host, and since when. */
+export class StoreHealth {
+  /** When it last began to answer after a fault; infinite while it does not answer. */
+  returnedAt = -Infinity;
+  #lostAt: number | undefined;
+
+  constructor(
+    readonly clock: Clock,
+    readonly events: EventLog,
+  ) {}
+
+  get isLost(): boolean {
+    return this.#lostAt !== undefined;
+  }
+
+  recordSuccess(): void {
+    if (this.#lostAt === undefined) {
+      return;
+    }
+    const now = this.clock.now();
+    this.events.write({ event: 'store-regained', lostMilliseconds: now - this.#lostAt });
+    this.#lostAt = undefined;
+    this.returnedAt = now;
+  }
+
+  recordFailure(call: string, detail: string): void {
+    if (this.#lostAt !== undefined) {
+      return;
+    }
+    this.#lostAt = this.clock.now();
+    this.returnedAt = Infinity;
+    this.events.write({ event: 'store-lost', call, detail });
+  }
+}
--- /dev/null
+++ b/packages/entry/src/index.ts
@@ -0,0 +1,27 @@
+export { splitAddress } from './address.js';
+export type { HostAndPort } from './address.js';
+export type { DirectoryAnswer } from './directory.js';
+export { EntryHost } from './entry-host.js';
+export type { EntryHostOptions } from './entry-host.js';
+export type { EntryHostSettings } from './entry-host-settings.js';
+export { EventLog, eventSchema } from './events.js';
+export type { EntryEvent } from './events.js';
+export {
+  entryHostRecordSchema,
+  fleetChangeSchema,
+  fleetRecordSchema,
+} from './fleet/fleet-record.js';
+export type { EntryHostRecord, FleetChange, FleetRecord } from './fleet/fleet-record.js';
+export type {
+  FleetChanges,
+  FleetStore,
+  FleetStoreFailure,
+  HostLease,
+} from './fleet/fleet-store.js';
+export { FleetView } from './fleet/fleet-view.js';
+export type {
+  AnswerFacts,
+  CallerDemand,
+  HeaderDialect,
+  TargetInstruction,
+} from './request/dialect.js';
--- /dev/null
+++ b/packages/entry/src/peers/peer-client.ts
@@ -0,0 +1,62 @@
+import { createJSONRPCRequest } from 'json-rpc-2.0';
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import { Agent } from 'undici';
+import { z } from 'zod';
+import type { DeltaResult } from './peer-messages.js';
+import { DELTA_METHOD, deltaResultSchema } from './peer-messages.js';
+
+/** Path of the calls between entry hosts. */
+export const PEER_PATH = '/peer';
+/** Time after which a call counts as lost: several times the way between two regions and back. */
+const TIMEOUT_MILLISECONDS = 600;
+const IDLE_MILLISECONDS = 5_000;
+
+const responseSchema = z.object({
+  id: z.union([z.number(), z.string(), z.null()]),
+  result: z.unknown().optional(),
+  error: z.object({ code: z.number(), message: z.string() }).optional(),
+});
+
+/** Calls other entry hosts by JSON-RPC 2.0 over HTTP. */
+export class PeerClient {
+  readonly #agent = new Agent({
+    keepAliveTimeout: IDLE_MILLISECONDS,
+    connect: { timeout: TIMEOUT_MILLISECONDS },
+  });
+  #nextId = 1;
+
+  /** What leads from a revision to the peer's. */
+  async delta(address: string, afterRevision: number): Promise<Result<DeltaResult, string>> {
+    const answer = await this.#call(address, DELTA_METHOD, { afterRevision });
+    return answer.andThen((result) => {
+      const parsed = deltaResultSchema.safeParse(result);
+      return parsed.success ? Ok(parsed.data) : Err(`unexpected answer: ${parsed.error.message}`);
+    });
+  }
+
+  async close(): Promise<void> {
+    await this.#agent.destroy();
+  }
+
+  async #call(address: string, method: string, params: unknown): Promise<Result<unknown, string>> {
+    const id = this.#nextId++;
+    try {
+      const response = await this.#agent.request({
+        origin: `http://${address}`,
+        method: 'POST',
+        path: PEER_PATH,
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify(createJSONRPCRequest(id, method, params)),
+        signal: AbortSignal.timeout(TIMEOUT_MILLISECONDS),
+      });
+      const parsed = responseSchema.parse(JSON.parse(await response.body.text()));
+      if (parsed.id !== id) {
+        return Err('an answer that belongs to no call');
+      }
+      return parsed.error === undefined ? Ok(parsed.result) : Err(parsed.error.message);
+    } catch (error) {
+      return Err(String(error));
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/peers/report-socket.ts
@@ -0,0 +1,44 @@
+import { createSocket } from 'node:dgram';
+import type { Socket } from 'node:dgram';
+import type { EventLog } from '../events.js';
+import { splitAddress } from '../address.js';
+
+/** Sends and takes datagrams. A lost one is made good by the next. */
+export class ReportSocket {
+  readonly #socket: Socket;
+
+  constructor(
+    readonly events: EventLog,
+    onMessage: (text: string) => void,
+  ) {
+    this.#socket = createSocket('udp4');
+    this.#socket.on('message', (bytes) => {
+      onMessage(bytes.toString('utf8'));
+    });
+    this.#socket.on('error', (error) => {
+      events.logger.warn('datagram socket failed', { error: String(error) });
+    });
+  }
+
+  /** Binds the socket and tells the address, with the port that was taken. */
+  async listen(address: string): Promise<string> {
+    const { host, port } = splitAddress(address);
+    await new Promise<void>((resolve) => {
+      this.#socket.bind(port, host, resolve);
+    });
+    return `${host}:${this.#socket.address().port}`;
+  }
+
+  send(address: string, text: string): void {
+    const { host, port } = splitAddress(address);
+    this.#socket.send(text, port, host, (error) => {
+      if (error !== null) {
+        this.events.logger.debug('datagram not sent', { address, error: String(error) });
+      }
+    });
+  }
+
+  close(): void {
+    this.#socket.close();
+  }
+}
--- /dev/null
+++ b/packages/entry/src/request/caller-exchange.ts
@@ -0,0 +1,25 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Route } from '@ferrylock/routing';
+import type { CallerDemand } from './dialect.js';
+
+/** A caller's request while it is under way. */
+export interface CallerExchange {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  /** Path and query as the caller sent them. */
+  readonly path: string;
+  readonly demand: CallerDemand;
+  /** When it came in, in monotonic milliseconds. */
+  readonly arrivedAt: number;
+}
+
+/** A caller's request with the route it takes. */
+export interface RoutedExchange extends CallerExchange {
+  readonly requestId: string;
+  readonly route: Route;
+  /** Version of the configuration that the route is from. */
+  readonly version: number;
+  readonly body: Buffer | undefined;
+  /** When it must have its final answer. */
+  readonly endAt: number;
+}
--- /dev/null
+++ b/packages/entry/src/request/dialect.ts
@@ -0,0 +1,45 @@
+import type { IncomingHttpHeaders } from 'node:http';
+
+/** What a caller says with its request, besides method, path and body. */
+export interface CallerDemand {
+  /** Names this try of the caller; undefined where it is missing. */
+  readonly requestId: string | undefined;
+  /** How long the caller waits; undefined where it does not say, NaN where it makes no sense. */
+  readonly deadlineMilliseconds: number | undefined;
+  /** Names the object that the request is about. */
+  readonly affinityKey: string | undefined;
+}
+
+/** What a target is told with a request, besides what the caller sent. */
+export interface TargetInstruction {
+  /** How long the target may work on it. */
+  readonly deadlineMilliseconds: number;
+  /** The start of the target that alone is to run it. */
+  readonly targetId: string;
+}
+
+/** What a target's answer says of itself, besides status and body. */
+export interface AnswerFacts {
+  /** The request's id as the target gives it back; undefined where it does not. */
+  readonly requestId: string | undefined;
+  /** The target's word that it has not run the request and will not. */
+  readonly isNotRun: boolean;
+  /** Another start of a target answers at this address. */
+  readonly isOtherTarget: boolean;
+  /** Whether the answer bears the target's mark; a success without one is not the target's. */
+  readonly isSigned: boolean;
+  /** Requests running and waiting there. */
+  readonly load: number | undefined;
+  /** The target stays slow for this much longer. */
+  readonly coldMilliseconds: number | undefined;
+}
+
+/** How callers and targets name what they say in headers. */
+export interface HeaderDialect {
+  readDemand(headers: IncomingHttpHeaders): CallerDemand;
+  /** Headers that go to the target in place of the caller's of the same names. */
+  instruct(instruction: TargetInstruction): Record<string, string>;
+  readAnswer(status: number, headers: IncomingHttpHeaders): AnswerFacts;
+  /** Headers of an answer that this host gives itself. */
+  ownAnswerHeaders(requestId: string | undefined): Record<string, string>;
+}
--- /dev/null
+++ b/packages/entry/src/request/target-client.ts
@@ -0,0 +1,142 @@
+import type { IncomingHttpHeaders } from 'node:http';
+import { Agent } from 'undici';
+
+/** Idle connections close before most targets would close them, so that none closes under a request. */
+const IDLE_MILLISECONDS = 4_000;
+/** Several times the way between two regions and back; a silent target costs no more than this. */
+const CONNECT_TIMEOUT_MILLISECONDS = 300;
+
+/** Lower statuses are informational: the answer comes after them (RFC 9110, 15.2). */
+const FIRST_FINAL_STATUS = 200;
+
+/** One send of a request to one target. */
+export interface TargetRequest {
+  /** IP number and port. */
+  readonly address: string;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Record<string, string | string[]>;
+  readonly body: Buffer | undefined;
+  /** Whether it is to have a connection of its own. */
+  readonly isAlone: boolean;
+  /** Looks at the head of the answer; an error says that it is not the answer to this request. */
+  readonly examine: (status: number, headers: IncomingHttpHeaders) => Error | undefined;
+}
+
+/** A target's whole answer. */
+export interface TargetAnswer {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: Buffer;
+}
+
+/** What became of one send. */
+export type SendOutcome =
+  | { readonly kind: 'answered'; readonly answer: TargetAnswer }
+  /** No byte of the request has left. */
+  | { readonly kind: 'not-sent'; readonly error: Error }
+  /** Bytes have left and no whole answer came. */
+  | { readonly kind: 'broken'; readonly error: Error };
+
+/** A send that was ended from this side. */
+export class SendCancelled extends Error {}
+
+/** A send under way. */
+export interface Send {
+  readonly outcome: Promise<SendOutcome>;
+  /** Ends it; the target sees its connection close. */
+  cancel(): void;
+}
+
+/** Sends requests to targets. A connection carries one request at a time. */
+export class TargetClient {
+  readonly #agent = new Agent({
+    connections: null,
+    pipelining: 1,
+    keepAliveTimeout: IDLE_MILLISECONDS,
+    keepAliveMaxTimeout: IDLE_MILLISECONDS,
+    connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS },
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+  /** Its connections carry one request each. */
+  readonly #loneAgent = new Agent({
+    connections: null,
+    pipelining: 1,
+    connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS },
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+
+  send(request: TargetRequest): Send {
+    let abort: ((error: Error) => void) | undefined;
+    let isCancelled = false;
+    let settle: (outcome: SendOutcome) => void = () => undefined;
+    const outcome = new Promise<SendOutcome>((resolve) => {
+      settle = resolve;
+      const chunks: Buffer[] = [];
+      let status = 0;
+      let headers: IncomingHttpHeaders = {};
+      let isStarted = false;
+      const { address, method, path, body, isAlone } = request;
+      (isAlone ? this.#loneAgent : this.#agent).dispatch(
+        {
+          origin: `http://${address}`,
+          method,
+          path,
+          headers: request.headers,
+          body: body ?? null,
+          reset: isAlone,
+        },
+        {
+          onRequestStart: (controller) => {
+            if (isCancelled || isStarted) {
+              // Never sent a second time by the transport, and not at all once it was given up.
+              controller.abort(new SendCancelled('ended before it was sent'));
+              return;
+            }
+            isStarted = true;
+            abort = (error) => {
+              controller.abort(error);
+            };
+          },
+          onResponseStart: (controller, statusCode, answerHeaders) => {
+            if (statusCode < FIRST_FINAL_STATUS) {
+              return;
+            }
+            status = statusCode;
+            headers = answerHeaders;
+            const fault = request.examine(status, headers);
+            if (fault !== undefined) {
+              controller.abort(fault);
+            }
+          },
+          onResponseData: (_controller, chunk) => {
+            chunks.push(chunk);
+          },
+          onResponseEnd: () => {
+            resolve({ kind: 'answered', answer: { status, headers, body: Buffer.concat(chunks) } });
+          },
+          onResponseError: (_controller, error) => {
+            resolve({ kind: isStarted ? 'broken' : 'not-sent', error });
+          },
+        },
+      );
+    });
+    const cancel = (): void => {
+      isCancelled = true;
+      const error = new SendCancelled('given up');
+      if (abort === undefined) {
+        settle({ kind: 'not-sent', error });
+      } else {
+        abort(error);
+      }
+    };
+    return { outcome, cancel };
+  }
+
+  /** Cuts all connections. */
+  async close(): Promise<void> {
+    await Promise.all([this.#agent.destroy(), this.#loneAgent.destroy()]);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/request/target-send.ts
@@ -0,0 +1,147 @@
+import type { TargetState } from '@ferrylock/routing';
+import type { Clock } from '@ferrylock/utils';
+import type { ServiceTargets } from '../routing/service-targets.js';
+import type { RoutedExchange } from './caller-exchange.js';
+import type { AnswerFacts, HeaderDialect } from './dialect.js';
+import { passOnHeaders } from './pass-on-headers.js';
+import type { Send, TargetAnswer, TargetClient } from './target-client.js';
+
+/** What one send to one target came to. */
+export type SendVerdict =
+  /** The target's own answer, whole; it is to be passed on. */
+  | { readonly kind: 'answered'; readonly answer: TargetAnswer; readonly facts: AnswerFacts }
+  /** Certainly not run: nothing was sent, or the target said so. */
+  | {
+      readonly kind: 'not-run';
+      readonly reason: 'connect-failed' | 'target-refused';
+      readonly detail: string;
+    }
+  /** Bytes left and no usable answer came. */
+  | { readonly kind: 'unknown'; readonly reason: 'target-failed'; readonly detail: string }
+  /** Ended from this side, because of the time or the caller. */
+  | { readonly kind: 'ended'; readonly cause: EndCause; readonly wasSent: boolean };
+
+/** Why a send is ended from this side. */
+export type EndCause = 'deadline' | 'caller-gone';
+
+/** The answer to some other request. */
+class StrayAnswer extends Error {}
+/** A success that the target did not sign. */
+class UnsignedAnswer extends Error {}
+
+/** Cached answers that a caller revalidates are no successes with a body. */
+const isSuccess = (status: number): boolean => status >= 200 && status < 300;
+
+export interface TargetSendOptions {
+  readonly clock: Clock;
+  readonly client: TargetClient;
+  readonly dialect: HeaderDialect;
+  readonly service: ServiceTargets;
+  readonly target: TargetState;
+  readonly exchange: RoutedExchange;
+}
+
+/** One send of a request to one target, and what is learned about the target from it. */
+export class TargetSend {
+  readonly verdict: Promise<SendVerdict>;
+  readonly sentAt: number;
+  readonly #options: TargetSendOptions;
+  readonly #send: Send;
+  #endedBy: EndCause | undefined;
+
+  constructor(options: TargetSendOptions) {
+    this.#options = options;
+    this.sentAt = options.clock.now();
+    options.target.inFlight++;
+    this.#send = options.client.send({
+      address: options.target.record.address,
+      method: options.exchange.request.method ?? 'GET',
+      path: options.exchange.path,
+      headers: this.#headers(),
+      body: options.exchange.body,
+      isAlone: options.service.isDistrusted,
+      examine: (status, headers) => this.#examine(status, headers),
+    });
+    this.verdict = this.#judge();
+  }
+
+  /** Ends it from this side. */
+  end(cause: EndCause): void {
+    this.#endedBy ??= cause;
+    this.#send.cancel();
+  }
+
+  #headers(): Record<string, string | string[]> {
+    const { dialect, exchange, target } = this.#options;
+    return Object.assign(
+      passOnHeaders(exchange.request.headers),
+      dialect.instruct({
+        deadlineMilliseconds: Math.max(1, Math.floor(exchange.endAt - this.sentAt)),
+        targetId: target.id,
+      }),
+    );
+  }
+
+  #examine(status: number, headers: TargetAnswer['headers']): Error | undefined {
+    const { dialect, exchange } = this.#options;
+    const facts = dialect.readAnswer(status, headers);
+    if (facts.isNotRun || facts.isOtherTarget) {
+      return undefined;
+    }
+    if (facts.requestId !== exchange.requestId) {
+      return new StrayAnswer(`the answer is to request ${facts.requestId ?? 'without id'}`);
+    }
+    return isSuccess(status) && !facts.isSigned
+      ? new UnsignedAnswer('a success without the target’s mark')
+      : undefined;
+  }
+
+  async #judge(): Promise<SendVerdict> {
+    const { clock, dialect, target, service } = this.#options;
+    const outcome = await this.#send.outcome;
+    target.inFlight--;
+    const now = clock.now();
+    if (outcome.kind !== 'answered') {
+      return this.#judgeFailure(outcome.kind === 'not-sent', outcome.error, now);
+    }
+    const { answer } = outcome;
+    const facts = dialect.readAnswer(answer.status, answer.headers);
+    if (facts.load !== undefined) {
+      target.recordLoad(facts.load, now);
+    }
+    if (facts.coldMilliseconds !== undefined) {
+      target.recordCold(facts.coldMilliseconds, now);
+    }
+    if (facts.isOtherTarget) {
+      target.leaving = true;
+      return { kind: 'not-run', reason: 'target-refused', detail: 'another target answers there' };
+    }
+    if (facts.isNotRun) {
+      target.recordShed(now);
+      return { kind: 'not-run', reason: 'target-refused', detail: `status ${answer.status}` };
+    }
+    target.recordAnswer(now);
+    service.recordDuration(now - this.sentAt);
+    return { kind: 'answered', answer, facts };
+  }
+
+  #judgeFailure(isUnsent: boolean, error: Error, now: number): SendVerdict {
+    const { target, service } = this.#options;
+    if (this.#endedBy !== undefined) {
+      if (this.#endedBy === 'deadline' && target.answeredAt < this.sentAt) {
+        target.recordFailure(now);
+      }
+      return { kind: 'ended', cause: this.#endedBy, wasSent: !isUnsent };
+    }
+    if (isUnsent) {
+      target.recordFailure(now);
+      return { kind: 'not-run', reason: 'connect-failed', detail: error.message };
+    }
+    if (error instanceof StrayAnswer) {
+      service.distrust();
+    } else {
+      target.recordFailure(now);
+    }
+    return { kind: 'unknown', reason: 'target-failed', detail: error.message };
+  }
+}
--- /dev/null
+++ b/packages/entry/src/routing/routing-state.ts
@@ -0,0 +1,191 @@
+import type {
+  CallerLimits,
+  RetryBound,
+  RouteConfiguration,
+  TargetRecord,
+} from '@ferrylock/routing';
+import { RouteTable } from '@ferrylock/routing';
+import type { Clock } from '@ferrylock/utils';
+import type { EventLog } from '../events.js';
+import type { FleetChange } from '../fleet/fleet-record.js';
+import type { FleetView } from '../fleet/fleet-view.js';
+import { ServiceTargets } from './service-targets.js';
+import { VanishedTargets } from './vanished-targets.js';
+
+export interface RoutingStateOptions {
+  readonly clock: Clock;
+  readonly events: EventLog;
+  readonly view: FleetView;
+  readonly ownRegion: string;
+  /** Region of each failure domain. */
+  readonly regions: Readonly<Record<string, string>>;
+  readonly drainMilliseconds: number;
+  readonly retryBound: RetryBound;
+  /** When the store last began to answer after a fault; infinite while it does not answer. */
+  readonly storeReturnedAt: () => number;
+}
+
+/** A configuration with what is looked up in it. */
+interface ActiveConfiguration {
+  readonly version: number;
+  readonly routes: RouteTable;
+  readonly limits: CallerLimits;
+}
+
+/** What requests are routed by: the newest configuration, and all services' targets. */
+export class RoutingState {
+  readonly #options: RoutingStateOptions;
+  readonly #services = new Map<string, ServiceTargets>();
+  readonly #serviceOfTarget = new Map<string, ServiceTargets>();
+  readonly #targetOfKey = new Map<string, string>();
+  readonly #evacuated = new Map<string, string>();
+  readonly #vanished: VanishedTargets;
+  readonly #limitsListeners: ((limits: CallerLimits) => void)[] = [];
+  #active: ActiveConfiguration | undefined;
+
+  constructor(options: RoutingStateOptions) {
+    this.#options = options;
+    this.#vanished = new VanishedTargets(options);
+    options.view.onChanges((changes) => {
+      this.#takeChanges(changes);
+    });
+  }
+
+  /** The configuration in force; undefined while none is known. */
+  get active(): ActiveConfiguration | undefined {
+    return this.#active;
+  }
+
+  get services(): Iterable<ServiceTargets> {
+    return this.#services.values();
+  }
+
+  service(name: string): ServiceTargets | undefined {
+    return this.#services.get(name);
+  }
+
+  /** Calls back with the callers' limits of each configuration. */
+  onLimits(listener: (limits: CallerLimits) => void): void {
+    this.#limitsListeners.push(listener);
+  }
+
+  serviceOfTarget(id: string): ServiceTargets | undefined {
+    return this.#serviceOfTarget.get(id);
+  }
+
+  /** To be called a few times a second: drops targets that vanished and did not come back. */
+  sweep(): void {
+    for (const id of this.#vanished.takeGone(this.#options.storeReturnedAt())) {
+      this.#removeTarget(id, 'vanished');
+    }
+  }
+
+  #takeChanges(changes: readonly FleetChange[]): void {
+    const vanishedOf = new Map<ServiceTargets, string[]>();
+    for (const { key, record } of changes) {
+      if (record?.kind === 'configuration') {
+        this.#activate(record.configuration);
+      } else if (record?.kind === 'evacuation') {
+        this.#evacuated.set(key, record.failureDomain);
+      } else if (record?.kind === 'target') {
+        this.#putTarget(key, record.target);
+      } else if (record === undefined) {
+        this.#evacuated.delete(key);
+        this.#collectVanished(key, vanishedOf);
+      }
+    }
+    for (const [service, ids] of vanishedOf) {
+      this.#vanished.add(ids, service.targets.size);
+    }
+  }
+
+  #activate(configuration: RouteConfiguration): void {
+    if (this.#active !== undefined && configuration.version <= this.#active.version) {
+      return;
+    }
+    const { version, routes, services, limits } = configuration;
+    this.#active = { version, routes: new RouteTable(routes), limits };
+    for (const settings of services) {
+      this.#serviceNamed(settings.name).settings = settings;
+    }
+    for (const listener of this.#limitsListeners) {
+      listener(limits);
+    }
+    this.#options.events.write({ event: 'configuration', version, routes: routes.length });
+  }
+
+  #putTarget(key: string, record: TargetRecord): void {
+    const service = this.#serviceNamed(record.service);
+    const wasLeaving = service.targets.get(record.id)?.leaving === true;
+    const isNew = service.put(record);
+    this.#serviceOfTarget.set(record.id, service);
+    this.#targetOfKey.set(key, record.id);
+    const returned = this.#vanished.remove(record.id);
+    if (returned || isNew) {
+      this.#logTarget(record.id, service, isNew ? 'added' : 'returned');
+    }
+    if (!wasLeaving && record.state === 'draining') {
+      this.#logTarget(record.id, service, 'draining');
+    }
+  }
+
+  #collectVanished(key: string, vanishedOf: Map<ServiceTargets, string[]>): void {
+    const id = this.#targetOfKey.get(key);
+    const service = id === undefined ? undefined : this.#serviceOfTarget.get(id);
+    if (id === undefined || service === undefined) {
+      return;
+    }
+    if (service.targets.get(id)?.leaving === true) {
+      this.#removeTarget(id, 'left');
+      return;
+    }
+    this.#logTarget(id, service, 'vanished');
+    vanishedOf.set(service, [...(vanishedOf.get(service) ?? []), id]);
+  }
+
+  #removeTarget(id: string, detail: string): void {
+    const service = this.#serviceOfTarget.get(id);
+    if (service === undefined) {
+      return;
+    }
+    service.remove(id);
+    this.#serviceOfTarget.delete(id);
+    this.#logTarget(id, service, 'removed', detail);
+  }
+
+  #serviceNamed(name: string): ServiceTargets {
+    const known = this.#services.get(name);
+    if (known !== undefined) {
+      return known;
+    }
+    const { clock, retryBound, ownRegion, regions } = this.#options;
+    const created = new ServiceTargets(name, {
+      clock,
+      retryBound,
+      ownRegion,
+      regionOf: (failureDomain) => regions[failureDomain] ?? failureDomain,
+      isEvacuated: (failureDomain) => this.#isEvacuated(failureDomain),
+    });
+    this.#services.set(name, created);
+    return created;
+  }
+
+  #isEvacuated(failureDomain: string): boolean {
+    for (const evacuated of this.#evacuated.values()) {
+      if (evacuated === failureDomain) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  #logTarget(
+    target: string,
+    service: ServiceTargets,
+    state: 'added' | 'draining' | 'vanished' | 'returned' | 'removed',
+    detail?: string,
+  ): void {
+    const event = { event: 'target', target, service: service.name, state } as const;
+    this.#options.events.write(detail === undefined ? event : { ...event, detail });
+  }
+}
--- /dev/null
+++ b/packages/entry/src/servers/control-server.ts
@@ -0,0 +1,57 @@
+import Fastify from 'fastify';
+import type { FastifyInstance } from 'fastify';
+import { JSONRPCErrorException, JSONRPCServer } from 'json-rpc-2.0';
+import { splitAddress } from '../address.js';
+import { PEER_PATH } from '../peers/peer-client.js';
+import type { PeerExchange } from '../peers/peer-exchange.js';
+import { DELTA_METHOD, deltaParamsSchema } from '../peers/peer-messages.js';
+
+/** JSON-RPC 2.0: invalid method parameters. */
+const INVALID_PARAMS = -32_602;
+
+export interface ControlServerOptions {
+  readonly exchange: PeerExchange;
+  /** Figures of this host as Prometheus text. */
+  readonly metricsText: () => string;
+}
+
+/** Answers other entry hosts, and tells figures. */
+export class ControlServer {
+  readonly #app: FastifyInstance;
+  readonly #peerServer = new JSONRPCServer({ errorListener: () => undefined });
+
+  constructor({ exchange, metricsText }: ControlServerOptions) {
+    this.#app = Fastify({ logger: false });
+    this.#peerServer.addMethod(DELTA_METHOD, (params: unknown) => {
+      const parsed = deltaParamsSchema.safeParse(params);
+      if (!parsed.success) {
+        throw new JSONRPCErrorException(parsed.error.message, INVALID_PARAMS);
+      }
+      return exchange.deltaFor(parsed.data);
+    });
+    // Bodies stay text here: the JSON-RPC server tells callers what is wrong with them.
+    this.#app.removeAllContentTypeParsers();
+    this.#app.addContentTypeParser('*', { parseAs: 'string' }, (_request, body, done) => {
+      done(null, body);
+    });
+    this.#app.post(PEER_PATH, async (request, reply) => {
+      const answer = await this.#peerServer.receiveJSON(request.body as string);
+      return reply.header('content-type', 'application/json').send(JSON.stringify(answer));
+    });
+    this.#app.get('/metrics', (_request, reply) =>
+      reply.header('content-type', 'text/plain; version=0.0.4').send(metricsText()),
+    );
+  }
+
+  async listen(address: string): Promise<string> {
+    const { host, port } = splitAddress(address);
+    await this.#app.listen({ host, port });
+    const bound = this.#app.server.address();
+    return typeof bound === 'object' && bound !== null ? `${host}:${bound.port}` : address;
+  }
+
+  async close(): Promise<void> {
+    this.#app.server.closeAllConnections();
+    await this.#app.close();
+  }
+}
--- /dev/null
+++ b/packages/routing/src/target-state.ts
@@ -0,0 +1,92 @@
+import type { TargetRecord } from './target-record.js';
+
+/** How long a load that the target itself told is taken as a lower bound of the present one. */
+const LOAD_REPORT_LIFE_MILLISECONDS = 150;
+/** A first failure keeps a target out of choice this long; each further one doubles it. */
+const FIRST_EJECTION_MILLISECONDS = 400;
+/** Longest that a failing target is left without a try. */
+const LONGEST_EJECTION_MILLISECONDS = 3_000;
+/** How long a target that refused for lack of room is left alone. */
+const SHED_HOLD_MILLISECONDS = 100;
+
+/** One target as this entry host sees it: what is recorded, what it tells, and how tries end. */
+export class TargetState {
+  record: TargetRecord;
+  /** Requests of this entry host at the target now. */
+  inFlight = 0;
+  /** Requests of the other entry hosts there, by host, as they reported last. */
+  readonly othersInFlight = new Map<string, number>();
+  /** The target itself or its record says that it wants no new work. */
+  leaving = false;
+  /** When it last gave a usable answer. */
+  answeredAt = -Infinity;
+  #reportedLoad = 0;
+  #reportedAt = -Infinity;
+  #failures = 0;
+  #ejectedUntil = -Infinity;
+  #coldUntil = -Infinity;
+
+  constructor(record: TargetRecord, now: number) {
+    this.record = record;
+    this.update(record, now);
+  }
+
+  get id(): string {
+    return this.record.id;
+  }
+
+  /** Takes over what is newly recorded. */
+  update(record: TargetRecord, now: number): void {
+    this.record = record;
+    this.leaving ||= record.state === 'draining';
+    this.recordCold(record.coldMilliseconds, now);
+  }
+
+  /** The target is slow for this much longer. */
+  recordCold(milliseconds: number, now: number): void {
+    if (milliseconds > 0) {
+      this.#coldUntil = Math.max(this.#coldUntil, now + milliseconds);
+    }
+  }
+
+  isCold(now: number): boolean {
+    return now < this.#coldUntil;
+  }
+
+  isEjected(now: number): boolean {
+    return now < this.#ejectedUntil;
+  }
+
+  /** Requests that it probably has now, running and waiting. */
+  load(now: number): number {
+    let counted = this.inFlight;
+    for (const count of this.othersInFlight.values()) {
+      counted += count;
+    }
+    const isFresh = now - this.#reportedAt < LOAD_REPORT_LIFE_MILLISECONDS;
+    return isFresh ? Math.max(counted, this.#reportedLoad) : counted;
+  }
+
+  /** @param load - requests running and waiting there, as the target told with an answer */
+  recordLoad(load: number, now: number): void {
+    this.#reportedLoad = load;
+    this.#reportedAt = now;
+  }
+
+  recordAnswer(now: number): void {
+    this.answeredAt = now;
+    this.#failures = 0;
+  }
+
+  /** A try brought no usable answer. */
+  recordFailure(now: number): void {
+    const milliseconds = FIRST_EJECTION_MILLISECONDS * 2 ** this.#failures;
+    this.#failures++;
+    this.#ejectedUntil = now + Math.min(LONGEST_EJECTION_MILLISECONDS, milliseconds);
+  }
+
+  /** It refused for lack of room; others are better for a moment. */
+  recordShed(now: number): void {
+    this.#ejectedUntil = Math.max(this.#ejectedUntil, now + SHED_HOLD_MILLISECONDS);
+  }
+}
--- a/packages/utils/src/logger.ts
+++ b/packages/utils/src/logger.ts
@@ -11,10 +11,18 @@
 /** The least severe level that is still written. */
 export type LogLevel = 'debug' | 'info' | 'warn' | 'error' | 'silent';
 
-/** A winston logger that writes JSON lines to standard error. */
+const LEVELS = ['debug', 'info', 'warn', 'error'];
+
+export interface LoggerOptions {
+  /** Where the lines go. */
+  readonly stream?: 'stdout' | 'stderr';
+}
+
+/** A winston logger that writes JSON lines, to standard error unless told otherwise. */
 export function createLogger(
   level: LogLevel,
   defaultFields: Readonly<Record<string, unknown>> = {},
+  { stream = 'stderr' }: LoggerOptions = {},
 ): Logger {
   return winston.createLogger({
     level: level === 'silent' ? 'error' : level,
@@ -23,7 +31,7 @@
     format: winston.format.combine(winston.format.timestamp(), winston.format.json()),
     transports: [
       // eslint-disable-next-line @typescript-eslint/no-unsafe-class-instance-assignment -- winston's own transports are typed this way
-      new winston.transports.Console({ stderrLevels: ['debug', 'info', 'warn', 'error'] }),
+      new winston.transports.Console({ stderrLevels: stream === 'stderr' ? LEVELS : [] }),
     ],
   });
 }
