--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -70,12 +70,14 @@
   readonly #control: ControlServer;
   #registration: HostRegistration | undefined;
   #own: EntryHostRecord | undefined;
+  #hosts: readonly string[] = [];
   #isLeaving = false;
 
   constructor(options: EntryHostOptions) {
     this.#options = options;
     const { settings, clock, events } = options;
     const { view } = this;
+    this.#hosts = [settings.name];
     this.#tasks = new BackgroundTasks(events.logger);
     this.#health = new StoreHealth(clock, events);
     this.#peers = new PeerTable(clock, events);
@@ -117,7 +119,7 @@
       answers: new AnswerWriter({ ...options, view, metrics: this.metrics }),
       metrics: this.metrics,
       ownName: settings.name,
-      hosts: () => this.#hostNames(),
+      hosts: () => this.#hosts,
     });
     this.#front = new FrontServer({
       handle: (request, response, path) => forwarder.handle(request, response, path),
@@ -129,6 +131,11 @@
       exchange: this.#exchange,
       metricsText: () => metricsText(this.metrics),
     });
+    view.onChanges((changes) => {
+      if (changes.some(({ record }) => record === undefined || record.kind === 'entryHost')) {
+        this.#hosts = this.#registeredNames();
+      }
+    });
     this.state.onLimits((limits) => {
       this.#front.setLimits(limits);
     });
@@ -206,8 +213,13 @@
     await Promise.all([this.#client.close(), this.#peerClient.close()]);
   }
 
-  #hostNames(): string[] {
-    return [this.#options.settings.name, ...this.#peers.alive.map(({ name }) => name)];
+  /**
+   * Names of all registered entry hosts, whether heard from or not: what is divided among them must
+   * not grow where one is cut off and hears nobody.
+   */
+  #registeredNames(): string[] {
+    const registered = this.view.records('entryHost').map(({ host }) => host.name);
+    return [...new Set([this.#options.settings.name, ...registered])];
   }
 
   /** Learns from the seeds while nothing is known, as when the store is away. */
--- a/packages/entry/src/request/request-forwarder.ts
+++ b/packages/entry/src/request/request-forwarder.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { TargetState } from '@ferrylock/routing';
-import { chooseShare } from '@ferrylock/routing';
+import { chooseShare, mostLoadPerSlot } from '@ferrylock/routing';
 import type { Clock, Random } from '@ferrylock/utils';
 import type { RoutingState } from '../routing/routing-state.js';
 import type { ServiceTargets } from '../routing/service-targets.js';
@@ -18,8 +18,6 @@
 
 /** Deadline of a caller that names none: the route's own timeout ends it sooner. */
 const NO_DEADLINE = Infinity;
-/** Requests, running and waiting, that a target may have for each slot. */
-const MOST_LOAD_PER_SLOT = 1.8;
 /** Share of requests that go to their key's second target, so that it knows the object too. */
 const SECOND_TARGET_SHARE = 0.04;
 /** What a caller is told that came before the configuration did. */
@@ -36,7 +34,7 @@
   readonly answers: AnswerWriter;
   readonly metrics: RequestMetrics;
   readonly ownName: string;
-  /** Names of all entry hosts that are alive, this one included. */
+  /** Names of all entry hosts, this one included; the same array while nothing changes. */
   readonly hosts: () => readonly string[];
 }
 
@@ -167,14 +165,18 @@
   }
 
   #chooseTarget({ exchange, service, progress }: Journey): TargetState | undefined {
-    const { clock, random, hosts, ownName } = this.#options;
+    const { clock, random, hosts, ownName, state } = this.#options;
     const { route, demand, requestId } = exchange;
     return service.choice.choose(
       {
         key: route.hasAffinity ? (demand.affinityKey ?? requestId) : requestId,
         homeRegions: route.homeRegions,
         tried: progress.tried,
-        mostLoadPerSlot: MOST_LOAD_PER_SLOT,
+        mostLoadPerSlot: mostLoadPerSlot({
+          route,
+          runMilliseconds: service.runMilliseconds,
+          leastUrgent: state.active?.leastUrgent ?? route.priority,
+        }),
         prefersSecond: random.next() < SECOND_TARGET_SHARE,
       },
       clock.now(),
--- a/packages/entry/src/request/target-send.ts
+++ b/packages/entry/src/request/target-send.ts
@@ -47,14 +47,18 @@
   readonly sentAt: number;
   readonly #options: TargetSendOptions;
   readonly #send: Send;
+  /** The target's load before this request, for each of its slots. */
+  readonly #loadPerSlot: number;
   #endedBy: EndCause | undefined;
 
   constructor(options: TargetSendOptions) {
     this.#options = options;
     this.sentAt = options.clock.now();
-    options.target.inFlight++;
+    const { target } = options;
+    this.#loadPerSlot = target.load(this.sentAt) / target.record.slots;
+    target.inFlight++;
     this.#send = options.client.send({
-      address: options.target.record.address,
+      address: target.record.address,
       method: options.exchange.request.method ?? 'GET',
       path: options.exchange.path,
       headers: this.#headers(),
@@ -121,7 +125,7 @@
       return { kind: 'not-run', reason: 'target-refused', detail: `status ${answer.status}` };
     }
     target.recordAnswer(now);
-    service.recordDuration(now - this.sentAt);
+    service.recordAnswer(now - this.sentAt, this.#loadPerSlot);
     return { kind: 'answered', answer, facts };
   }
 
--- a/packages/entry/src/routing/routing-state.ts
+++ b/packages/entry/src/routing/routing-state.ts
@@ -30,6 +30,8 @@
   readonly version: number;
   readonly routes: RouteTable;
   readonly limits: CallerLimits;
+  /** Largest priority number among its routes. */
+  readonly leastUrgent: number;
 }
 
 /** What requests are routed by: the newest configuration, and all services' targets. */
@@ -109,7 +111,8 @@
       return;
     }
     const { version, routes, services, limits } = configuration;
-    this.#active = { version, routes: new RouteTable(routes), limits };
+    const leastUrgent = Math.max(0, ...routes.map(({ priority }) => priority));
+    this.#active = { version, routes: new RouteTable(routes), limits, leastUrgent };
     for (const settings of services) {
       this.#serviceNamed(settings.name).settings = settings;
     }
--- a/packages/entry/src/routing/service-targets.ts
+++ b/packages/entry/src/routing/service-targets.ts
@@ -15,8 +15,8 @@
 
 /** How long requests get a connection each after a target sent an answer to another request. */
 const DISTRUST_MILLISECONDS = 10_000;
-/** Weight of one answer in the average time that answers take. */
-const DURATION_WEIGHT = 0.02;
+/** Weight of one answer in the average time of work: some two seconds of a host's requests. */
+const RUN_WEIGHT = 0.02;
 
 /** One service's targets, how to choose among them, and what its requests may draw on. */
 export class ServiceTargets {
@@ -27,7 +27,7 @@
   /** Absent while no configuration names the service. */
   settings: RoutedService | undefined;
   readonly #clock: Clock;
-  readonly #duration = new MovingAverage(DURATION_WEIGHT);
+  readonly #run = new MovingAverage(RUN_WEIGHT);
   #distrustedUntil = -Infinity;
 
   constructor(
@@ -63,17 +63,23 @@
     this.#distrustedUntil = this.#clock.now() + DISTRUST_MILLISECONDS;
   }
 
-  /** Average time of an answer in milliseconds; undefined before the first. */
-  get duration(): number | undefined {
-    return this.#duration.value;
+  /** Average time of work on a request, without waiting for a slot; undefined before the first. */
+  get runMilliseconds(): number | undefined {
+    return this.#run.value;
   }
 
-  recordDuration(milliseconds: number): void {
-    this.#duration.add(milliseconds);
+  /**
+   * Learns from a request that was answered.
+   *
+   * @param loadPerSlot - the target's load when the request was sent, for each of its slots
+   */
+  recordAnswer(milliseconds: number, loadPerSlot: number): void {
+    this.#run.add(milliseconds / Math.max(1, loadPerSlot));
   }
 
   remove(id: string): void {
     this.targets.delete(id);
+    this.coldGate.forget(id);
     this.choice.membersChanged();
   }
 }
--- a/packages/routing/src/cold-gate.ts
+++ b/packages/routing/src/cold-gate.ts
@@ -3,41 +3,70 @@
 
 /** Most entry hosts that send to one cold target; each of them may begin with one request. */
 const MOST_SENDERS = 4;
+/** Requests a second that each sender is to have at least, so that its first one is a small part. */
+const LEAST_RATE_OF_SENDER = 2;
 /** Part of what a cold target bears that is used. */
 const USED_SHARE = 0.7;
 
-/** Decides whether this entry host may send a request to a cold target now. */
+/** What decides whether this entry host may send a request to a cold target now. */
 export interface ColdDemand {
   readonly target: string;
   /** Requests a second that the target bears. */
   readonly requestsPerSecond: number;
   readonly ownName: string;
-  /** Names of all entry hosts that are alive, this one included. */
+  /** Names of all entry hosts, this one included; the same array while nothing changes. */
   readonly hosts: readonly string[];
 }
 
+/** This host's part in what goes to one cold target. */
+interface Sender {
+  readonly hosts: readonly string[];
+  readonly isSender: boolean;
+  lastSentAt: number;
+}
+
 /**
  * Keeps a cold target's arrivals under what it bears, over all entry hosts together and without a
  * message: a few hosts, the same ones by everybody's reckoning, send to it, each at an equal part
  * of the rate and never two requests closer than that part allows.
  */
 export class ColdGate {
-  readonly #lastSentAt = new Map<string, number>();
+  readonly #senders = new Map<string, Sender>();
 
   constructor(readonly clock: Clock) {}
 
-  tryTake({ target, requestsPerSecond, ownName, hosts }: ColdDemand): boolean {
-    const senders = Math.max(1, Math.min(MOST_SENDERS, Math.floor(requestsPerSecond / 2)));
-    const ranked = rendezvousRank(target, hosts, (name) => name).slice(0, senders);
-    if (!ranked.includes(ownName)) {
-      return false;
-    }
-    const gap = (1_000 * senders) / (requestsPerSecond * USED_SHARE);
+  tryTake(demand: ColdDemand): boolean {
+    const { requestsPerSecond, hosts } = demand;
+    const count = senderCount(requestsPerSecond, hosts.length);
+    const sender = this.#senderFor(demand, count);
+    const gap = (1_000 * count) / (requestsPerSecond * USED_SHARE);
     const now = this.clock.now();
-    if (now - (this.#lastSentAt.get(target) ?? -Infinity) < gap) {
+    if (!sender.isSender || now - sender.lastSentAt < gap) {
       return false;
     }
-    this.#lastSentAt.set(target, now);
+    sender.lastSentAt = now;
     return true;
   }
+
+  /** The target is warm or gone. */
+  forget(target: string): void {
+    this.#senders.delete(target);
+  }
+
+  #senderFor({ target, hosts, ownName }: ColdDemand, count: number): Sender {
+    const known = this.#senders.get(target);
+    if (known?.hosts === hosts) {
+      return known;
+    }
+    const ranked = rendezvousRank(target, hosts, (name) => name).slice(0, count);
+    const lastSentAt = known?.lastSentAt ?? -Infinity;
+    const sender = { hosts, isSender: ranked.includes(ownName), lastSentAt };
+    this.#senders.set(target, sender);
+    return sender;
+  }
+}
+
+function senderCount(requestsPerSecond: number, hosts: number): number {
+  const fitting = Math.floor(requestsPerSecond / LEAST_RATE_OF_SENDER);
+  return Math.max(1, Math.min(MOST_SENDERS, hosts, fitting));
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,4 +1,6 @@
 export { chooseShare } from './choose-share.js';
+export { mostLoadPerSlot } from './most-load-per-slot.js';
+export type { LoadBoundInput } from './most-load-per-slot.js';
 export { RetryAllowance, SlidingCount } from './divided-limits.js';
 export type { RetryBound } from './divided-limits.js';
 export {
--- /dev/null
+++ b/packages/routing/src/most-load-per-slot.ts
@@ -0,0 +1,32 @@
+import type { Route } from './route-configuration.js';
+
+/** Part of the time for an answer of full use that work and waiting may take; the rest is the way. */
+const USABLE_SHARE = 0.9;
+/** At least what is running may run, and a little waits, since loads are known late. */
+const LEAST = 1.15;
+/** More waiting than this would not end inside any caller's patience. */
+const MOST = 2.5;
+/** What each step of urgency adds, so that the less urgent is refused first. */
+const PER_URGENCY = 0.15;
+
+export interface LoadBoundInput {
+  readonly route: Pick<Route, 'targetLatencyMilliseconds' | 'priority'>;
+  /** Average time of work on a request of the service; undefined before the first answer. */
+  readonly runMilliseconds: number | undefined;
+  /** Largest priority number of all routes. */
+  readonly leastUrgent: number;
+}
+
+/**
+ * Requests, running and waiting, that a target may have for each slot when one more is sent: so
+ * many that this one still ends within the time that makes it of full use. What could not is
+ * better refused at once, while the caller can come back.
+ */
+export function mostLoadPerSlot({ route, runMilliseconds, leastUrgent }: LoadBoundInput): number {
+  const urgency = PER_URGENCY * Math.max(0, leastUrgent - route.priority);
+  if (runMilliseconds === undefined) {
+    return LEAST + urgency;
+  }
+  const fitting = (USABLE_SHARE * route.targetLatencyMilliseconds) / runMilliseconds;
+  return Math.min(MOST, Math.max(LEAST, fitting)) + urgency;
+}
--- /dev/null
+++ b/packages/routing/tests/choose-share.test.ts
@@ -0,0 +1,57 @@
+import { describe, expect, it } from 'vitest';
+import { chooseShare } from '../src/index.js';
+import { makeRoute } from './fixtures.js';
+
+const REQUESTS = 4_000;
+
+function shareOf(service: string, weights: Record<string, number>): number {
+  const shares = Object.entries(weights).map(([name, weight]) => ({ service: name, weight }));
+  const route = makeRoute({ shares });
+  let count = 0;
+  for (let request = 0; request < REQUESTS; request++) {
+    count += chooseShare(route, `request-${request}`) === service ? 1 : 0;
+  }
+  return count / REQUESTS;
+}
+
+describe('chooseShare', () => {
+  it.each([
+    ['b', { a: 90, b: 10 }, 0.1],
+    ['b', { a: 1, b: 1 }, 0.5],
+    ['c', { a: 2, b: 5, c: 3 }, 0.3],
+    ['a', { a: 0, b: 4 }, 0],
+  ])('gives %s of %o its share', (service, weights, share) => {
+    expect(Math.abs(shareOf(service, weights) - share)).toBeLessThan(0.02);
+  });
+
+  it('gives the same text the same service', () => {
+    const route = makeRoute({
+      shares: [
+        { service: 'a', weight: 1 },
+        { service: 'b', weight: 1 },
+      ],
+    });
+    expect(chooseShare(route, 'x')).toBe(chooseShare(route, 'x'));
+  });
+
+  it('moves only what a change of weights requires', () => {
+    const before = makeRoute({
+      shares: [
+        { service: 'a', weight: 9 },
+        { service: 'b', weight: 1 },
+      ],
+    });
+    const after = makeRoute({
+      shares: [
+        { service: 'a', weight: 8 },
+        { service: 'b', weight: 2 },
+      ],
+    });
+    let moved = 0;
+    for (let request = 0; request < REQUESTS; request++) {
+      const text = `request-${request}`;
+      moved += chooseShare(before, text) === chooseShare(after, text) ? 0 : 1;
+    }
+    expect(Math.abs(moved / REQUESTS - 0.1)).toBeLessThan(0.02);
+  });
+});
