--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -146,6 +146,11 @@
     return this.state.active !== undefined && !this.#isLeaving && this.#own !== undefined;
   }
 
+  /** Where it can be reached, with the ports that were taken; undefined before the start. */
+  get addresses(): EntryHostRecord | undefined {
+    return this.#own;
+  }
+
   /** Which entry hosts a caller of this region is to use. */
   directoryAnswer(region: string): DirectoryAnswer {
     return this.#directory.answer(region);
--- a/packages/entry/src/servers/front-server.ts
+++ b/packages/entry/src/servers/front-server.ts
@@ -24,6 +24,8 @@
 export class FrontServer {
   readonly #app: FastifyInstance;
   #mostHeaderBytes = LONGEST_HEADERS_BYTES;
+  /** Answers that are still to be given. */
+  readonly #underWay = new Set<ServerResponse>();
   #isLeaving = false;
 
   constructor(options: FrontServerOptions) {
@@ -44,9 +46,7 @@
     this.#app.addHook('onRequest', async (request, reply) => {
       reply.hijack();
       const { raw } = request;
-      if (this.#isLeaving) {
-        reply.raw.setHeader('connection', 'close');
-      }
+      this.#watch(reply.raw);
       if (headerBytes(raw) > this.#mostHeaderBytes) {
         reply.raw.writeHead(431, { connection: 'close', 'content-length': 0 }).end();
         return;
@@ -78,6 +78,9 @@
   /** From now on each answer closes its connection, so that callers come back elsewhere. */
   beginLeaving(): void {
     this.#isLeaving = true;
+    for (const response of this.#underWay) {
+      closeAfter(response);
+    }
   }
 
   /** Takes no further connections and closes those that carry no request. */
@@ -86,12 +89,30 @@
     this.#app.server.closeIdleConnections();
   }
 
+  #watch(response: ServerResponse): void {
+    if (this.#isLeaving) {
+      closeAfter(response);
+      return;
+    }
+    this.#underWay.add(response);
+    response.once('close', () => {
+      this.#underWay.delete(response);
+    });
+  }
+
   async close(): Promise<void> {
     this.#app.server.closeAllConnections();
     await this.#app.close();
   }
 }
 
+/** Lets the answer end its connection, where its head has not left yet. */
+function closeAfter(response: ServerResponse): void {
+  if (!response.headersSent) {
+    response.setHeader('connection', 'close');
+  }
+}
+
 function headerBytes({ rawHeaders }: IncomingMessage): number {
   return rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
 }
--- /dev/null
+++ b/packages/entry/tests/fixtures.ts
@@ -0,0 +1,102 @@
+import type { Route, RouteConfiguration, TargetRecord } from '@ferrylock/routing';
+import { silentLogger } from '@ferrylock/utils';
+import type { EntryEvent, EntryHostRecord, FleetChange } from '../src/index.js';
+import { EventLog } from '../src/index.js';
+
+export function makeHostRecord(changes: Partial<EntryHostRecord> = {}): EntryHostRecord {
+  return {
+    name: 'host-1',
+    incarnation: 'first',
+    failureDomain: 'aarhus-hal',
+    region: 'jylland',
+    trafficAddress: '127.0.0.1:1001',
+    controlAddress: '127.0.0.1:1002',
+    reportAddress: '127.0.0.1:1003',
+    capacity: 0.5,
+    ...changes,
+  };
+}
+
+export function makeRoute(changes: Partial<Route> = {}): Route {
+  return {
+    name: 'verdicts',
+    host: 'verdicts.example',
+    pathPrefix: '/',
+    kind: 'repeatable',
+    timeoutMilliseconds: 800,
+    targetLatencyMilliseconds: 300,
+    priority: 0,
+    shares: [{ service: 'verdict-api', weight: 1 }],
+    mostAttempts: 2,
+    hasAffinity: true,
+    homeRegions: [],
+    ...changes,
+  };
+}
+
+export function makeConfiguration(changes: Partial<RouteConfiguration> = {}): RouteConfiguration {
+  return {
+    version: 1,
+    routes: [makeRoute()],
+    services: [
+      {
+        name: 'verdict-api',
+        healthPath: '/health',
+        mostConnections: 390,
+        coldMilliseconds: 3_000,
+        coldRequestsPerSecond: 9,
+      },
+    ],
+    limits: {
+      mostHeaderBytes: 16_384,
+      mostBodyBytes: 100_000,
+      headerTimeoutMilliseconds: 3_000,
+      idleTimeoutMilliseconds: 15_000,
+    },
+    ...changes,
+  };
+}
+
+export function makeTarget(changes: Partial<TargetRecord> = {}): TargetRecord {
+  return {
+    id: 'target-1',
+    service: 'verdict-api',
+    address: '127.0.0.1:1',
+    failureDomain: 'aarhus-hal',
+    softwareVersion: 'v1',
+    slots: 6,
+    state: 'ready',
+    coldMilliseconds: 0,
+    ...changes,
+  };
+}
+
+export function targetChange(revision: number, changes: Partial<TargetRecord> = {}): FleetChange {
+  const target = makeTarget(changes);
+  return { key: `targets/${target.id}`, revision, record: { kind: 'target', target } };
+}
+
+export function hostChange(revision: number, changes: Partial<EntryHostRecord> = {}): FleetChange {
+  const host = makeHostRecord(changes);
+  return { key: `hosts/${host.name}`, revision, record: { kind: 'entryHost', host } };
+}
+
+export function configurationChange(
+  revision: number,
+  changes: Partial<RouteConfiguration> = {},
+): FleetChange {
+  const configuration = makeConfiguration(changes);
+  return { key: 'configuration', revision, record: { kind: 'configuration', configuration } };
+}
+
+/** An event log that keeps what is written to it. */
+export function keepEvents(): { log: EventLog; events: EntryEvent[] } {
+  const events: EntryEvent[] = [];
+  const log = new EventLog({
+    ...silentLogger,
+    info: (event, fields) => {
+      events.push({ event, ...fields } as EntryEvent);
+    },
+  });
+  return { log, events };
+}
--- /dev/null
+++ b/packages/entry/tests/fleet/store-watch.test.ts
@@ -0,0 +1,117 @@
+import { FakeClock } from '@ferrylock/test-utils';
+import { SeededRandom } from '@ferrylock/utils';
+import { Err, Ok } from 'ts-results-es';
+import type { Result } from 'ts-results-es';
+import { afterEach, describe, expect, it } from 'vitest';
+import { StoreHealth } from '../../src/fleet/store-health.js';
+import { StoreWatch } from '../../src/fleet/store-watch.js';
+import type { FleetChanges, FleetStore, FleetStoreFailure } from '../../src/index.js';
+import { FleetView } from '../../src/index.js';
+import { keepEvents, targetChange } from '../fixtures.js';
+
+type Answer = Result<FleetChanges, FleetStoreFailure>;
+
+/** A store whose answers to listings and waits are given one by one; later waits hang. */
+class ScriptedStore implements FleetStore {
+  listings: Answer[] = [];
+  waits: Answer[] = [];
+  calls: string[] = [];
+
+  list(): Promise<Answer> {
+    this.calls.push('list');
+    return Promise.resolve(this.listings.shift() ?? Err(failure('not-done')));
+  }
+
+  waitForChanges(afterRevision: number): Promise<Answer> {
+    this.calls.push(`wait ${afterRevision}`);
+    const answer = this.waits.shift();
+    return answer === undefined ? new Promise(() => undefined) : Promise.resolve(answer);
+  }
+
+  register = () => Promise.resolve(Err(failure('not-done')));
+  renew = () => Promise.resolve(Err(failure('not-done')));
+  release = () => Promise.resolve(Err(failure('not-done')));
+}
+
+function failure(kind: FleetStoreFailure['kind']): FleetStoreFailure {
+  return { kind, message: 'test' };
+}
+
+function makeWatch() {
+  const clock = new FakeClock();
+  const { log, events } = keepEvents();
+  const store = new ScriptedStore();
+  const view = new FleetView();
+  const health = new StoreHealth(clock, log);
+  const duty = { isNeeded: true };
+  const watch = new StoreWatch({
+    clock,
+    random: new SeededRandom(1),
+    events: log,
+    store,
+    view,
+    health,
+    isNeeded: () => duty.isNeeded,
+  });
+  return { clock, events, store, view, health, duty, watch };
+}
+
+describe('StoreWatch', () => {
+  let stop: (() => void) | undefined;
+
+  afterEach(() => stop?.());
+
+  it('reads everything, then waits for changes after it', async () => {
+    const { clock, store, view, watch } = makeWatch();
+    store.listings = [Ok({ revision: 7, changes: [targetChange(7)] })];
+    store.waits = [Ok({ revision: 9, changes: [targetChange(9, { id: 'target-2' })] })];
+    watch.start();
+    await clock.advance(1_000);
+    expect(store.calls).toEqual(['list', 'wait 7', 'wait 9']);
+    expect(view.records('target')).toHaveLength(2);
+  });
+
+  it('reads everything again where the history is lost', async () => {
+    const { clock, store, view, watch } = makeWatch();
+    store.listings = [
+      Ok({ revision: 7, changes: [targetChange(7)] }),
+      Ok({ revision: 30, changes: [] }),
+    ];
+    store.waits = [Err(failure('history-lost'))];
+    watch.start();
+    await clock.advance(1_000);
+    expect(store.calls.slice(0, 4)).toEqual(['list', 'wait 7', 'list', 'wait 30']);
+    expect(view.records('target')).toEqual([]);
+  });
+
+  it('pauses after a failure, keeps what it knows, and says when the store is back', async () => {
+    const { clock, store, view, watch, events, health } = makeWatch();
+    store.listings = [Ok({ revision: 7, changes: [targetChange(7)] })];
+    store.waits = [
+      Err(failure('unknown')),
+      Err(failure('not-done')),
+      Ok({ revision: 7, changes: [] }),
+    ];
+    watch.start();
+    await clock.advance(100);
+    expect(health.isLost).toBe(true);
+    expect(health.returnedAt).toBe(Infinity);
+    expect(view.records('target')).toHaveLength(1);
+    expect(store.calls).toHaveLength(2);
+    await clock.advance(2_000);
+    expect(health.isLost).toBe(false);
+    const names = events.map(({ event }) => event);
+    expect(names.filter((name) => name.startsWith('store-'))).toEqual([
+      'store-lost',
+      'store-regained',
+    ]);
+  });
+
+  it('leaves the store alone while others watch', async () => {
+    const { clock, store, duty, watch } = makeWatch();
+    duty.isNeeded = false;
+    watch.start();
+    await clock.advance(5_000);
+    expect(store.calls).toEqual([]);
+  });
+});
--- /dev/null
+++ b/packages/entry/tests/request/request-progress.test.ts
@@ -0,0 +1,98 @@
+import type { Route } from '@ferrylock/routing';
+import { describe, expect, it } from 'vitest';
+import { statusOf } from '../../src/request/refusal.js';
+import { RequestProgress } from '../../src/request/request-progress.js';
+import type { SendVerdict } from '../../src/request/target-send.js';
+
+const NO_FACTS = {
+  requestId: 'request-1',
+  isNotRun: false,
+  isOtherTarget: false,
+  isSigned: true,
+  load: undefined,
+  coldMilliseconds: undefined,
+};
+
+function answered(status: number): SendVerdict {
+  return {
+    kind: 'answered',
+    answer: { status, headers: {}, body: Buffer.alloc(0) },
+    facts: NO_FACTS,
+  };
+}
+
+const refused: SendVerdict = { kind: 'not-run', reason: 'target-refused', detail: 'full' };
+const unreachable: SendVerdict = { kind: 'not-run', reason: 'connect-failed', detail: 'refused' };
+const broken: SendVerdict = { kind: 'unknown', reason: 'target-failed', detail: 'reset' };
+
+function makeProgress(kind: Route['kind'], mostAttempts = 2): RequestProgress {
+  return new RequestProgress({ kind, mostAttempts });
+}
+
+function statusAfter(progress: RequestProgress): number {
+  const { outcome } = progress;
+  return 'reason' in outcome ? statusOf(outcome) : outcome.status;
+}
+
+describe('RequestProgress', () => {
+  it.each([
+    ['once', refused, 'try-again-if-allowed'],
+    ['once', unreachable, 'try-again'],
+    ['once', broken, 'give-up'],
+    ['once', answered(500), 'deliver'],
+    ['upload', broken, 'give-up'],
+    ['repeatable', broken, 'try-again-if-allowed'],
+    ['repeatable', answered(500), 'try-again-if-allowed'],
+    ['repeatable', answered(404), 'deliver'],
+    ['repeatable', answered(200), 'deliver'],
+  ] as const)('after a %s request got %o does %s', (kind, verdict, next) => {
+    expect(makeProgress(kind).take(verdict)).toBe(next);
+  });
+
+  it('sends to no more targets than the route allows', () => {
+    const progress = makeProgress('repeatable', 2);
+    expect(progress.take(refused)).toBe('try-again-if-allowed');
+    expect(progress.take(refused)).toBe('give-up');
+  });
+
+  it('does not count targets that could not be reached as attempts, but tries only a few', () => {
+    const progress = makeProgress('once', 2);
+    expect(progress.take(unreachable)).toBe('try-again');
+    expect(progress.take(unreachable)).toBe('try-again');
+    expect(progress.take(unreachable)).toBe('give-up');
+    expect(progress.attempts).toBe(0);
+    expect(statusAfter(progress)).toBe(503);
+  });
+
+  it('never says that nothing ran once something may have', () => {
+    const progress = makeProgress('repeatable', 3);
+    progress.take(broken);
+    progress.take(refused);
+    const { outcome } = progress;
+    expect(outcome).toMatchObject({ ran: 'unknown' });
+    expect(statusAfter(progress)).toBe(502);
+  });
+
+  it.each([
+    ['nothing was sent', undefined, 503, 'no'],
+    ['a target refused it', refused, 503, 'no'],
+    ['a send broke', broken, 504, 'unknown'],
+    ['a send was under way', { kind: 'ended', cause: 'deadline', wasSent: true }, 504, 'unknown'],
+    ['a send was queued', { kind: 'ended', cause: 'deadline', wasSent: false }, 503, 'no'],
+  ] as const)('at the deadline where %s tells the truth', (_case, verdict, status, ran) => {
+    const progress = makeProgress('repeatable');
+    if (verdict !== undefined) {
+      progress.take(verdict);
+    }
+    progress.endedBy = 'deadline';
+    expect(progress.outcome).toMatchObject({ ran });
+    expect(statusAfter(progress)).toBe(status);
+  });
+
+  it('passes a target’s failure on where no other target does better', () => {
+    const progress = makeProgress('repeatable');
+    progress.take(answered(500));
+    progress.take(refused);
+    expect(statusAfter(progress)).toBe(500);
+  });
+});
--- /dev/null
+++ b/packages/entry/tests/routing/vanished-targets.test.ts
@@ -0,0 +1,51 @@
+import { FakeClock } from '@ferrylock/test-utils';
+import { describe, expect, it } from 'vitest';
+import { VanishedTargets } from '../../src/routing/vanished-targets.js';
+
+const DRAIN = 2_000;
+const NEVER_LOST = -Infinity;
+
+function makeVanished(): { clock: FakeClock; vanished: VanishedTargets } {
+  const clock = new FakeClock();
+  return { clock, vanished: new VanishedTargets({ clock, drainMilliseconds: DRAIN }) };
+}
+
+describe('VanishedTargets', () => {
+  it('drops a target that left without notice before the time that it serves on is over', async () => {
+    const { clock, vanished } = makeVanished();
+    vanished.add(['target-1'], 20);
+    expect(vanished.takeGone(NEVER_LOST)).toEqual([]);
+    await clock.advance(0.6 * DRAIN);
+    expect(vanished.takeGone(NEVER_LOST)).toEqual(['target-1']);
+    expect(vanished.takeGone(NEVER_LOST)).toEqual([]);
+  });
+
+  it('keeps a target that is recorded again', async () => {
+    const { clock, vanished } = makeVanished();
+    vanished.add(['target-1'], 20);
+    expect(vanished.remove('target-1')).toBe(true);
+    await clock.advance(10_000);
+    expect(vanished.takeGone(NEVER_LOST)).toEqual([]);
+  });
+
+  it('keeps targets for as long as the store does not answer, and two seconds after', async () => {
+    const { clock, vanished } = makeVanished();
+    vanished.add(['target-1'], 20);
+    await clock.advance(30_000);
+    expect(vanished.takeGone(Infinity)).toEqual([]);
+    const returnedAt = clock.now();
+    await clock.advance(2_200);
+    expect(vanished.takeGone(returnedAt)).toEqual([]);
+    await clock.advance(200);
+    expect(vanished.takeGone(returnedAt)).toEqual(['target-1']);
+  });
+
+  it('doubts the store where most targets of a service vanish together', async () => {
+    const { clock, vanished } = makeVanished();
+    vanished.add(['a', 'b', 'c'], 5);
+    await clock.advance(2_200);
+    expect(vanished.takeGone(NEVER_LOST)).toEqual([]);
+    await clock.advance(200);
+    expect(vanished.takeGone(NEVER_LOST)).toEqual(['a', 'b', 'c']);
+  });
+});
