trial: two copies of an object and those that this host saw in use

Two copies again, passed over from 0.8; before an unknown target one that worked on the object for this host.

--- a/packages/entry/src/request/caller-exchange.ts
+++ b/packages/entry/src/request/caller-exchange.ts
@@ -23,3 +23,8 @@
   /** When it must have its final answer. */
   readonly endAt: number;
 }
+
+/** What the choice of target is bound to: the object, or the request where objects do not matter. */
+export function keyOf({ route, demand, requestId }: RoutedExchange): string {
+  return route.hasAffinity ? (demand.affinityKey ?? requestId) : requestId;
+}
--- a/packages/entry/src/request/request-forwarder.ts
+++ b/packages/entry/src/request/request-forwarder.ts
@@ -7,6 +7,7 @@
 import type { AnswerWriter } from './answer-writer.js';
 import type { BodyFailure, BodyReader } from './body-reader.js';
 import type { CallerExchange, RoutedExchange } from './caller-exchange.js';
+import { keyOf } from './caller-exchange.js';
 import type { HeaderDialect } from './dialect.js';
 import type { EventLog } from '../events.js';
 import type { Refusal } from './refusal.js';
@@ -166,10 +167,10 @@
 
   #chooseTarget({ exchange, service, progress }: Journey): TargetState | undefined {
     const { clock, random, hosts, ownName, state } = this.#options;
-    const { route, demand, requestId } = exchange;
+    const { route } = exchange;
     return service.choice.choose(
       {
-        key: route.hasAffinity ? (demand.affinityKey ?? requestId) : requestId,
+        key: keyOf(exchange),
         homeRegions: route.homeRegions,
         tried: progress.tried,
         mostLoadPerSlot: mostLoadPerSlot({
--- a/packages/entry/src/request/target-send.ts
+++ b/packages/entry/src/request/target-send.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '@ferrylock/utils';
 import type { ServiceTargets } from '../routing/service-targets.js';
 import type { RoutedExchange } from './caller-exchange.js';
+import { keyOf } from './caller-exchange.js';
 import type { AnswerFacts, HeaderDialect } from './dialect.js';
 import { passOnHeaders } from './pass-on-headers.js';
 import type { Send, TargetAnswer, TargetClient } from './target-client.js';
@@ -124,7 +125,7 @@
       target.recordShed(now);
       return { kind: 'not-run', reason: 'target-refused', detail: `status ${answer.status}` };
     }
-    target.recordAnswer(now);
+    target.recordAnswer(keyOf(this.#options.exchange), now);
     service.recordAnswer(now - this.sentAt, this.#loadPerSlot);
     return { kind: 'answered', answer, facts };
   }
--- a/packages/routing/src/target-choice.ts
+++ b/packages/routing/src/target-choice.ts
@@ -3,17 +3,13 @@
 
 /** Ranks that are kept for keys seen; the first made go first. */
 const MOST_CACHED_RANKS = 5_000;
-/**
- * Targets that are to know a key's object: so many that a busy one can be passed over and a lost
- * one replaced without work on an unknown object. Held, 75 objects on 20 targets take 12 places of
- * the 36 and more that a target has.
- */
-const COPIES = 3;
+/** Targets that are to know a key's object, so that one of them outlives the loss of any other. */
+const COPIES = 2;
 /**
  * Requests for each slot up to which a key's first target is not passed over. Loads are known a
  * report's age late, so that a target fuller than this is often full by the time of arrival.
  */
-const COMFORTABLE_LOAD_PER_SLOT = 0.7;
+const COMFORTABLE_LOAD_PER_SLOT = 0.8;
 /**
  * Requests for each slot up to which a target takes keys that are not its own. A target works
  * longer on an object that it does not know: where all are busy, that would make them busier still.
@@ -80,10 +76,14 @@
     const warm = usable.filter((target) => !target.isCold(now));
     const sound = warm.filter((target) => !target.isEjected(now));
     const copies = this.#inOrder(sound.slice(0, COPIES), demand);
+    const others = sound.slice(COPIES);
+    const familiar = others.filter((target) => target.isFamiliar(demand.key, now));
+    const isBelow = (bound: number) => (target: TargetState) => loadPerSlot(target, now) < bound;
     return (
-      copies.find((target) => loadPerSlot(target, now) < COMFORTABLE_LOAD_PER_SLOT) ??
-      sound.slice(COPIES).find((target) => loadPerSlot(target, now) < SPILL_LOAD_PER_SLOT) ??
-      leastLoaded(copies, demand, now) ??
+      copies.find(isBelow(COMFORTABLE_LOAD_PER_SLOT)) ??
+      familiar.find(isBelow(COMFORTABLE_LOAD_PER_SLOT)) ??
+      others.find(isBelow(SPILL_LOAD_PER_SLOT)) ??
+      leastLoaded([...copies, ...familiar], demand, now) ??
       usable.find((target) => target.isCold(now) && !target.isEjected(now) && mayUseCold(target)) ??
       (sound.length === 0 ? leastLoaded(warm, demand, now) : undefined)
     );
--- a/packages/routing/src/target-state.ts
+++ b/packages/routing/src/target-state.ts
@@ -6,6 +6,10 @@
 const FIRST_EJECTION_MILLISECONDS = 400;
 /** Longest that a failing target is left without a try. */
 const LONGEST_EJECTION_MILLISECONDS = 3_000;
+/** How long an object is taken to be known at a target that worked on it. */
+const FAMILIAR_MILLISECONDS = 20_000;
+/** Objects that are remembered for each target; targets themselves hold some 25 to 50. */
+const MOST_FAMILIAR = 48;
 /** How long a target that refused for lack of room is left alone. */
 const SHED_HOLD_MILLISECONDS = 100;
 
@@ -20,6 +24,8 @@
   leaving = false;
   /** When it last gave a usable answer. */
   answeredAt = -Infinity;
+  /** When the target last worked on an object, by its key, the longest ago first. */
+  readonly #familiar = new Map<string, number>();
   #reportedLoad = 0;
   #reportedAt = -Infinity;
   #failures = 0;
@@ -73,8 +79,19 @@
     this.#reportedAt = now;
   }
 
-  recordAnswer(now: number): void {
+  /** Whether it worked on this object for this host not long ago. */
+  isFamiliar(key: string, now: number): boolean {
+    return now - (this.#familiar.get(key) ?? -Infinity) < FAMILIAR_MILLISECONDS;
+  }
+
+  /** @param key - the object that it worked on */
+  recordAnswer(key: string, now: number): void {
     this.answeredAt = now;
+    this.#familiar.delete(key);
+    this.#familiar.set(key, now);
+    if (this.#familiar.size > MOST_FAMILIAR) {
+      this.#familiar.delete(this.#familiar.keys().next().value ?? '');
+    }
     this.#failures = 0;
   }
 
--- a/packages/routing/tests/target-choice.test.ts
+++ b/packages/routing/tests/target-choice.test.ts
@@ -89,6 +89,22 @@
     expect(own).toContain(choice.choose(makeDemand(), NOW, neverCold)?.id);
   });
 
+  it('takes a target that worked on the object before one that did not', () => {
+    const targets = makeTargets(20);
+    const choice = makeChoice(targets);
+    const order = orderOf(choice, 5);
+    for (const target of targets.values()) {
+      target.inFlight = 4;
+    }
+    for (const id of order.slice(0, 2)) {
+      targetOf(targets, id).inFlight = 6;
+    }
+    const familiar = targetOf(targets, order[4] ?? '');
+    familiar.recordAnswer('object-1', NOW);
+    expect(choice.choose(makeDemand(), NOW, neverCold)?.id).toBe(familiar.id);
+    expect(choice.choose(makeDemand(), NOW + 60_000, neverCold)?.id).not.toBe(familiar.id);
+  });
+
   it('spills to a target that has little to do', () => {
     const targets = makeTargets(20);
     const choice = makeChoice(targets);
