--- a/packages/entry/src/request/answer-writer.ts
+++ b/packages/entry/src/request/answer-writer.ts
@@ -49,7 +49,11 @@
       return;
     }
     const headers = passOnHeaders(answer.headers);
-    if (request.method !== 'HEAD' && answer.status !== 304) {
+    if (!answer.isDelimited) {
+      // It may have been cut: a length of our own would say that it is whole.
+      response.useChunkedEncodingByDefault = false;
+      headers.connection = 'close';
+    } else if (request.method !== 'HEAD' && answer.status !== 304) {
       headers['content-length'] = String(answer.body.length);
     }
     response.writeHead(answer.status, headers);
--- a/packages/entry/src/request/target-client.ts
+++ b/packages/entry/src/request/target-client.ts
@@ -29,6 +29,11 @@
   readonly status: number;
   readonly headers: IncomingHttpHeaders;
   readonly body: Buffer;
+  /**
+   * Whether the answer itself says where it ends. One that ends with its connection may have been
+   * broken off by its target, without a sign.
+   */
+  readonly isDelimited: boolean;
 }
 
 /** What became of one send. */
@@ -123,7 +128,9 @@
               resolve({ kind: 'broken', error: new Error('reset before the end of the answer') });
               return;
             }
-            resolve({ kind: 'answered', answer: { status, headers, body: Buffer.concat(chunks) } });
+            const body = Buffer.concat(chunks);
+            const answer = { status, headers, body, isDelimited: isDelimited(headers) };
+            resolve({ kind: 'answered', answer });
           },
           onResponseError: (_controller, error) => {
             resolve({ kind: isStarted ? 'broken' : 'not-sent', error });
--- a/packages/entry/tests/request/request-progress.test.ts
+++ b/packages/entry/tests/request/request-progress.test.ts
@@ -16,7 +16,7 @@
 function answered(status: number): SendVerdict {
   return {
     kind: 'answered',
-    answer: { status, headers: {}, body: Buffer.alloc(0) },
+    answer: { status, headers: {}, body: Buffer.alloc(0), isDelimited: true },
     facts: NO_FACTS,
   };
 }
