fix: a key's requests stay with four targets

Change: the first four sound targets of a key's order take its requests; beyond them it waits or is refused. Test: never beyond the few targets that hold the object.

--- a/packages/routing/src/target-choice.ts
+++ b/packages/routing/src/target-choice.ts
@@ -5,6 +5,11 @@
 const MOST_CACHED_RANKS = 5_000;
 /** Targets that are to know a key's object, so that one of them outlives the loss of any other. */
 const COPIES = 2;
+/**
+ * Targets that a key's requests go to at all. A target holds only so many objects: keys that go
+ * everywhere push one another out, and most work is then on unknown objects.
+ */
+const MOST_COPIES = 4;
 /** Requests for each slot from which a key's first target is passed over: none of them is free. */
 const FULL_LOAD_PER_SLOT = 1;
 /**
@@ -73,7 +78,7 @@
     const warm = usable.filter((target) => !target.isCold(now));
     const sound = warm.filter((target) => !target.isEjected(now));
     const copies = this.#inOrder(sound.slice(0, COPIES), demand);
-    const others = sound.slice(COPIES);
+    const others = sound.slice(COPIES, MOST_COPIES);
     const familiar = others.filter((target) => target.isFamiliar(demand.key, now));
     const isBelow = (bound: number) => (target: TargetState) => loadPerSlot(target, now) < bound;
     return (
--- a/packages/routing/tests/target-choice.test.ts
+++ b/packages/routing/tests/target-choice.test.ts
@@ -92,14 +92,14 @@
   it('takes a target that worked on the object before one that did not', () => {
     const targets = makeTargets(20);
     const choice = makeChoice(targets);
-    const order = orderOf(choice, 5);
+    const order = orderOf(choice, 4);
     for (const target of targets.values()) {
       target.inFlight = 4;
     }
     for (const id of order.slice(0, 2)) {
       targetOf(targets, id).inFlight = 6;
     }
-    const familiar = targetOf(targets, order[4] ?? '');
+    const familiar = targetOf(targets, order[3] ?? '');
     familiar.recordAnswer('object-1', NOW);
     expect(choice.choose(makeDemand(), NOW, neverCold)?.id).toBe(familiar.id);
     expect(choice.choose(makeDemand(), NOW + 60_000, neverCold)?.id).not.toBe(familiar.id);
@@ -115,6 +115,16 @@
     expect(choice.choose(makeDemand(), NOW, neverCold)?.id).toBe(order[3]);
   });
 
+  it('never goes beyond the few targets that hold the object', () => {
+    const targets = makeTargets(20);
+    const choice = makeChoice(targets);
+    const own = orderOf(choice, 4);
+    for (const id of own) {
+      targetOf(targets, id).inFlight = 12;
+    }
+    expect(choice.choose(makeDemand(), NOW, neverCold)).toBeUndefined();
+  });
+
   it('chooses none where every target has as much as it may', () => {
     const targets = makeTargets(6);
     for (const target of targets.values()) {
