--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -9,6 +9,8 @@
   OperatorResult,
 } from '@ferrylock/schema';
 import { diffDocuments, formatDifferences } from './document-diff.js';
+import { explainRequest } from './explain/explain-request.js';
+import { readLogs } from './explain/read-logs.js';
 import { exitCodeOf, exitCodes } from './exit-codes.js';
 import { OperatorClient } from './operator-client.js';
 import { formatChanges, formatHosts, formatLookup, formatMetrics } from './text-output.js';
@@ -48,6 +50,21 @@
 export class Commands {
   constructor(readonly output: Output) {}
 
+  /** Prints what log files say of one request; asks no daemon. */
+  async explain(requestId: string, files: readonly string[]): Promise<number> {
+    return this.#run(async () => {
+      const story = explainRequest(requestId, await readLogFiles(files));
+      if (story.length === 0) {
+        throw new CommandError(
+          `no line names request ${requestId}: it was answered in time at the first try, ` +
+            'its line was dropped (see the summary lines), or it never came to these hosts',
+          exitCodes.failed,
+        );
+      }
+      this.output.print(story.join('\n'));
+    });
+  }
+
   async apply(file: string, options: ChangeOptions): Promise<number> {
     return this.#run(async () => {
       const declaration = readDeclaration(file);
@@ -241,3 +258,11 @@
 function repeated(result: { alreadyApplied: boolean }): string {
   return result.alreadyApplied ? ' (this change had been applied before)' : '';
 }
+
+async function readLogFiles(files: readonly string[]) {
+  try {
+    return await readLogs(files);
+  } catch (error) {
+    throw new CommandError(`cannot read the logs: ${String(error)}`, exitCodes.badInput);
+  }
+}
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -84,6 +84,12 @@
     end(commands.lookup(service, address, options));
   })
 
+  .command('explain <id> <file>', 'Tell a request’s story from log files of entry hosts')
+  .example('explain 9c41d07be2a35f68 host-1.log host-2.log')
+  .action((id: string, file: string, options: { readonly _: readonly string[] }) => {
+    end(commands.explain(id, [file, ...options._]));
+  })
+
   .command('metrics', 'Print counts and latencies by service at the daemon that answers')
   .action((options: CommonOptions) => {
     end(commands.metrics(options));
