feat: a split route keeps an object with one service, and its parts by correction

Ruled out: by key alone. Change: by key, unless the service's part of the recent requests would pass its weight's by 0.04.

--- a/packages/entry/src/request/request-forwarder.ts
+++ b/packages/entry/src/request/request-forwarder.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { TargetState } from '@ferrylock/routing';
-import { chooseShare, mostLoadPerSlot } from '@ferrylock/routing';
+import { mostLoadPerSlot, ShareBalancer } from '@ferrylock/routing';
 import type { Clock, Random } from '@ferrylock/utils';
 import type { RoutingState } from '../routing/routing-state.js';
 import type { ServiceTargets } from '../routing/service-targets.js';
@@ -50,6 +50,7 @@
 /** Takes callers' requests to targets and sees to their answers. */
 export class RequestForwarder {
   readonly #options: RequestForwarderOptions;
+  readonly #shares = new ShareBalancer();
 
   constructor(options: RequestForwarderOptions) {
     this.#options = options;
@@ -110,7 +111,7 @@
 
   async #forward(exchange: RoutedExchange): Promise<void> {
     const { state, clock, answers } = this.#options;
-    const service = state.service(chooseShare(exchange.route, exchange.requestId));
+    const service = state.service(this.#shares.choose(exchange.route, keyOf(exchange)));
     if (service === undefined) {
       const detail = 'the service has no targets';
       answers.refuse(exchange, { reason: 'no-target', detail, ran: 'no' });
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -20,6 +20,7 @@
   ServiceShare,
 } from './route-configuration.js';
 export { RouteTable } from './route-table.js';
+export { ShareBalancer } from './share-balancer.js';
 export { TargetChoice } from './target-choice.js';
 export type { TargetChoiceOptions, TargetDemand } from './target-choice.js';
 export { targetRecordSchema } from './target-record.js';
