--- a/packages/entry/src/request/request-forwarder.ts
+++ b/packages/entry/src/request/request-forwarder.ts
@@ -179,6 +179,7 @@
           runMilliseconds: service.runMilliseconds,
           leastUrgent: state.active?.leastUrgent ?? route.priority,
         }),
+        staysNear: route.kind === 'upload',
         prefersSecond: random.next() < SECOND_TARGET_SHARE,
       },
       clock.now(),
--- a/packages/routing/src/target-choice.ts
+++ b/packages/routing/src/target-choice.ts
@@ -28,6 +28,8 @@
   readonly tried: ReadonlySet<string>;
   /** Most requests, running and waiting, that a target may have for each of its slots. */
   readonly mostLoadPerSlot: number;
+  /** Whether its bytes make the way between regions dear: targets of the own region come first. */
+  readonly staysNear: boolean;
   /** Whether to prefer the key's second target, so that it comes to know the object. */
   readonly prefersSecond: boolean;
 }
@@ -76,7 +78,8 @@
   ): TargetState | undefined {
     const usable = this.#rankOf(demand.key).filter((target) => this.#isUsable(target, demand));
     const warm = usable.filter((target) => !target.isCold(now));
-    const sound = warm.filter((target) => !target.isEjected(now));
+    const ranked = warm.filter((target) => !target.isEjected(now));
+    const sound = demand.staysNear ? this.#nearFirst(ranked) : ranked;
     const copies = this.#inOrder(sound.slice(0, COPIES), demand);
     const others = sound.slice(COPIES, MOST_COPIES);
     const familiar = others.filter((target) => target.isFamiliar(demand.key, now));
@@ -93,10 +96,14 @@
 
   /** The nearer copies first, or the farther ones where these are to be kept in use. */
   #inOrder(copies: readonly TargetState[], { prefersSecond }: TargetDemand): TargetState[] {
+    const ordered = this.#nearFirst(copies);
+    return prefersSecond ? ordered.reverse() : ordered;
+  }
+
+  #nearFirst(targets: readonly TargetState[]): TargetState[] {
     const isNear = (target: TargetState): boolean =>
       this.#regionOf(target) === this.#options.ownRegion;
-    const ordered = [...copies.filter(isNear), ...copies.filter((target) => !isNear(target))];
-    return prefersSecond ? ordered.reverse() : ordered;
+    return [...targets.filter(isNear), ...targets.filter((target) => !isNear(target))];
   }
 
   #isUsable(target: TargetState, { tried, homeRegions }: TargetDemand): boolean {
--- a/packages/routing/tests/target-choice.test.ts
+++ b/packages/routing/tests/target-choice.test.ts
@@ -16,6 +16,7 @@
     homeRegions: [],
     tried: new Set(),
     mostLoadPerSlot: 1.5,
+    staysNear: false,
     prefersSecond: false,
     ...changes,
   };
@@ -143,6 +144,22 @@
     expect(choice.choose(makeDemand(), NOW, neverCold)?.id).toBe(near ?? anywhere[0]);
   });
 
+  it('keeps large bodies in the own region while a target there has room', () => {
+    const targets = makeTargets(30, Object.keys(REGIONS));
+    const choice = makeChoice(targets, { ownRegion: 'fyn' });
+    const regionsOf = () =>
+      Array.from({ length: 50 }, (_, index) => {
+        const demand = makeDemand({ key: `object-${index}`, staysNear: true });
+        return choice.choose(demand, NOW, neverCold)?.record.failureDomain;
+      });
+    expect(new Set(regionsOf())).toEqual(new Set(['odense-hal']));
+    for (const target of targets.values()) {
+      target.inFlight = target.record.failureDomain === 'odense-hal' ? 12 : 0;
+    }
+    expect(regionsOf()).toHaveLength(50);
+    expect(regionsOf()).not.toContain('odense-hal');
+  });
+
   it('keeps to home regions', () => {
     const targets = makeTargets(30, Object.keys(REGIONS));
     const choice = makeChoice(targets);
