--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -129,7 +129,7 @@
     });
     this.#control = new ControlServer({
       exchange: this.#exchange,
-      metricsText: () => metricsText(this.metrics),
+      metricsText: () => this.metricsText(),
     });
     view.onChanges((changes) => {
       if (changes.some(({ record }) => record === undefined || record.kind === 'entryHost')) {
@@ -151,6 +151,19 @@
     return this.#own;
   }
 
+  /** Figures in the Prometheus text format. */
+  metricsText(): string {
+    const { clock, events } = this.#options;
+    const services = [...this.state.services];
+    return metricsText(this.metrics, {
+      beliefAgeMilliseconds: clock.now() - this.view.confirmedAt,
+      configurationVersion: this.state.active?.version,
+      peersHeard: this.#peers.alive.length,
+      targetsKnown: services.reduce((sum, { targets }) => sum + targets.size, 0),
+      logLinesDropped: events.dropped,
+    });
+  }
+
   /** Which entry hosts a caller of this region is to use. */
   directoryAnswer(region: string): DirectoryAnswer {
     return this.#directory.answer(region);
--- a/packages/entry/src/metrics-text.ts
+++ b/packages/entry/src/metrics-text.ts
@@ -1,18 +1,57 @@
-import type { RequestMetrics } from './request/request-metrics.js';
+import type { ClassMetrics, RequestMetrics } from './request/request-metrics.js';
 
-/** Figures of an entry host as Prometheus text. */
-export function metricsText(metrics: RequestMetrics): string {
+const QUANTILES = [0.5, 0.9, 0.99];
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** What an entry host tells beside its counts of requests. */
+export interface HostFigures {
+  /** Age of the newest confirmation of its view; infinite before the first. */
+  readonly beliefAgeMilliseconds: number;
+  readonly configurationVersion: number | undefined;
+  readonly peersHeard: number;
+  readonly targetsKnown: number;
+  readonly logLinesDropped: number;
+}
+
+/** Figures of an entry host in the Prometheus text format. */
+export function metricsText(metrics: RequestMetrics, figures: HostFigures): string {
   const lines = [
-    '# TYPE ferrylock_requests_in_flight gauge',
-    `ferrylock_requests_in_flight ${metrics.inFlight}`,
-    '# TYPE ferrylock_requests_answered_total counter',
-    `ferrylock_requests_answered_total ${metrics.answered}`,
-    '# TYPE ferrylock_retries_total counter',
-    `ferrylock_retries_total ${metrics.retries}`,
-    '# TYPE ferrylock_refusals_total counter',
-    ...[...metrics.refusals].map(
-      ([reason, count]) => `ferrylock_refusals_total{reason="${reason}"} ${count}`,
-    ),
+    ...gauge('requests_in_flight', metrics.inFlight),
+    ...gauge('belief_age_seconds', figures.beliefAgeMilliseconds / MILLISECONDS_PER_SECOND),
+    ...gauge('configuration_version', figures.configurationVersion ?? 0),
+    ...gauge('peers_heard', figures.peersHeard),
+    ...gauge('targets_known', figures.targetsKnown),
+    ...counter('retries_total', metrics.retries),
+    ...counter('log_lines_dropped_total', figures.logLinesDropped),
+    '# TYPE ferrylock_requests_total counter',
+    '# TYPE ferrylock_request_seconds summary',
   ];
+  for (const [name, classMetrics] of metrics.classes) {
+    lines.push(...classLines(name, classMetrics));
+  }
   return `${lines.join('\n')}\n`;
 }
+
+function gauge(name: string, value: number): string[] {
+  return [`# TYPE ferrylock_${name} gauge`, `ferrylock_${name} ${number(value)}`];
+}
+
+function counter(name: string, value: number): string[] {
+  return [`# TYPE ferrylock_${name} counter`, `ferrylock_${name} ${value}`];
+}
+
+function classLines(name: string, { outcomes, latency }: ClassMetrics): string[] {
+  const counts = [...outcomes].map(
+    ([outcome, count]) => `ferrylock_requests_total{class="${name}",outcome="${outcome}"} ${count}`,
+  );
+  const quantiles = QUANTILES.map((quantile) => {
+    const seconds = latency.getValueAtPercentile(quantile * 100) / MILLISECONDS_PER_SECOND;
+    return `ferrylock_request_seconds{class="${name}",quantile="${quantile}"} ${seconds}`;
+  });
+  return [...counts, ...quantiles];
+}
+
+/** The format's own word for infinity. */
+function number(value: number): string {
+  return Number.isFinite(value) ? String(value) : '+Inf';
+}
--- a/packages/entry/src/request/answer-writer.ts
+++ b/packages/entry/src/request/answer-writer.ts
@@ -44,7 +44,8 @@
   deliver(exchange: RoutedExchange, answer: TargetAnswer, origin: AnswerOrigin): void {
     const { clock, metrics, events } = this.#options;
     const { response, request, route, requestId, version } = exchange;
-    metrics.answered++;
+    const milliseconds = clock.now() - exchange.arrivedAt;
+    metrics.recordAnswer(route.kind, milliseconds);
     if (response.destroyed) {
       return;
     }
@@ -58,7 +59,6 @@
     }
     response.writeHead(answer.status, headers);
     response.end(answer.body);
-    const milliseconds = clock.now() - exchange.arrivedAt;
     const isLate = milliseconds > route.targetLatencyMilliseconds;
     if (origin.attempts > 1 || isLate || answer.status >= 500) {
       events.write({
@@ -77,7 +77,8 @@
   refuse(exchange: CallerExchange & Partial<RoutedExchange>, refusal: Refusal, attempts = 0): void {
     const { clock, random, dialect, metrics, events, view } = this.#options;
     const { requestId = exchange.demand.requestId, route, version } = exchange;
-    metrics.countRefusal(refusal.reason);
+    const milliseconds = clock.now() - exchange.arrivedAt;
+    metrics.recordRefusal(route?.kind ?? 'none', `${refusal.reason}/${refusal.ran}`, milliseconds);
     const retryAfterSeconds = refusal.retryAfterSeconds ?? jittered(random, RETRY_AFTER_SECONDS);
     sendRefusal(
       exchange,
@@ -94,7 +95,7 @@
       reason: refusal.reason,
       detail: refusal.detail,
       attempts,
-      milliseconds: Math.round(clock.now() - exchange.arrivedAt),
+      milliseconds: Math.round(milliseconds),
       beliefAgeMilliseconds: Math.round(clock.now() - view.confirmedAt),
     });
   }
--- a/packages/entry/src/request/request-metrics.ts
+++ b/packages/entry/src/request/request-metrics.ts
@@ -1,11 +1,54 @@
-/** Counts of what became of requests. */
+import type { RequestKind } from '@ferrylock/routing';
+import { build } from 'hdr-histogram-js';
+import type { Histogram } from 'hdr-histogram-js';
+
+const SIGNIFICANT_DIGITS = 2;
+/** Longest time that is told apart; route time-outs lie far below it. */
+const LONGEST_MILLISECONDS = 600_000;
+
+/** What a request is counted under; `none` before its route is known. */
+export type RequestClass = RequestKind | 'none';
+
+/** Requests of one class. */
+export interface ClassMetrics {
+  /** By `answered`, or the reason of a refusal with whether it may have run. */
+  readonly outcomes: Map<string, number>;
+  /** Milliseconds from the arrival to the final answer. */
+  readonly latency: Histogram;
+}
+
+/** Counts and latencies of requests, by class and outcome. */
 export class RequestMetrics {
   inFlight = 0;
   answered = 0;
   retries = 0;
-  readonly refusals = new Map<string, number>();
+  readonly classes = new Map<RequestClass, ClassMetrics>();
+
+  recordAnswer(requestClass: RequestClass, milliseconds: number): void {
+    this.answered++;
+    this.#record(requestClass, 'answered', milliseconds);
+  }
+
+  recordRefusal(requestClass: RequestClass, outcome: string, milliseconds: number): void {
+    this.#record(requestClass, outcome, milliseconds);
+  }
+
+  #record(requestClass: RequestClass, outcome: string, milliseconds: number): void {
+    const { outcomes, latency } = this.#classOf(requestClass);
+    outcomes.set(outcome, (outcomes.get(outcome) ?? 0) + 1);
+    latency.recordValue(Math.min(LONGEST_MILLISECONDS, Math.round(milliseconds)));
+  }
 
-  countRefusal(reason: string): void {
-    this.refusals.set(reason, (this.refusals.get(reason) ?? 0) + 1);
+  #classOf(requestClass: RequestClass): ClassMetrics {
+    const known = this.classes.get(requestClass);
+    if (known !== undefined) {
+      return known;
+    }
+    const created = {
+      outcomes: new Map<string, number>(),
+      latency: build({ numberOfSignificantValueDigits: SIGNIFICANT_DIGITS }),
+    };
+    this.classes.set(requestClass, created);
+    return created;
   }
 }
--- /dev/null
+++ b/packages/entry/tests/metrics-text.test.ts
@@ -0,0 +1,42 @@
+import { describe, expect, it } from 'vitest';
+import { metricsText } from '../src/metrics-text.js';
+import { RequestMetrics } from '../src/request/request-metrics.js';
+
+const FIGURES = {
+  beliefAgeMilliseconds: 250,
+  configurationVersion: 7,
+  peersHeard: 11,
+  targetsKnown: 46,
+  logLinesDropped: 3,
+};
+
+describe('metricsText', () => {
+  it('tells counts and latencies by class and outcome', () => {
+    const metrics = new RequestMetrics();
+    metrics.recordAnswer('once', 120);
+    metrics.recordAnswer('once', 130);
+    metrics.recordRefusal('once', 'overload/no', 2);
+    metrics.recordRefusal('none', 'unknown-route/no', 1);
+    const lines = metricsText(metrics, FIGURES).split('\n');
+    expect(lines).toEqual(
+      expect.arrayContaining([
+        'ferrylock_requests_total{class="once",outcome="answered"} 2',
+        'ferrylock_requests_total{class="once",outcome="overload/no"} 1',
+        'ferrylock_requests_total{class="none",outcome="unknown-route/no"} 1',
+        'ferrylock_request_seconds{class="once",quantile="0.5"} 0.12',
+        'ferrylock_belief_age_seconds 0.25',
+        'ferrylock_configuration_version 7',
+      ]),
+    );
+  });
+
+  it('says infinity as the format does where nothing was ever confirmed', () => {
+    const figures = {
+      ...FIGURES,
+      beliefAgeMilliseconds: Infinity,
+      configurationVersion: undefined,
+    };
+    const text = metricsText(new RequestMetrics(), figures);
+    expect(text).toContain('ferrylock_belief_age_seconds +Inf\n');
+  });
+});
