fix: a listing claims no change beyond its revision

Change: it is gone as of the listing's revision, which covers everything before it. Tests: no claim beyond the listing; what was found gone reaches those who knew it.

--- a/packages/entry/src/fleet/fleet-view.ts
+++ b/packages/entry/src/fleet/fleet-view.ts
@@ -80,7 +80,7 @@
     const listed = new Set(entries.map(({ key }) => key));
     const gone = this.entries
       .filter(({ key, revision: changed }) => !listed.has(key) && changed <= revision)
-      .map(({ key, revision: changed }) => ({ key, revision: changed + 1 }));
+      .map(({ key }) => ({ key, revision }));
     const news = [...entries.filter((change) => this.#isNews(change)), ...gone];
     this.#take(news);
     this.#history.length = 0;
--- a/packages/entry/tests/fleet/fleet-view.test.ts
+++ b/packages/entry/tests/fleet/fleet-view.test.ts
@@ -49,6 +49,31 @@
     expect(idsIn(view)).toEqual(['new']);
   });
 
+  it('claims no change that a listing does not cover', () => {
+    const view = new FleetView();
+    view.apply({ afterRevision: 0, revision: 6, changes: [targetChange(6)] });
+    view.replace(6, []);
+    expect(view.lastChange).toBe(6);
+    const delta = { afterRevision: 6, revision: 7, changes: [targetChange(7, { id: 'new' })] };
+    expect(view.apply(delta)).toBe(true);
+    expect(idsIn(view)).toEqual(['new']);
+  });
+
+  it('hands on what it found gone to those who knew it', () => {
+    const view = new FleetView();
+    view.replace(3, [targetChange(2)]);
+    const other = new FleetView();
+    other.replace(3, [targetChange(2)]);
+    view.replace(9, []);
+    const delta = view.deltaAfter(other.lastChange);
+    if (delta === undefined) {
+      other.replace(view.revision, view.entries);
+    } else {
+      other.apply(delta);
+    }
+    expect(idsIn(other)).toEqual([]);
+  });
+
   it('ignores a listing that is older than what it knows', () => {
     const view = new FleetView();
     view.replace(8, [targetChange(8)]);
