fix: a host that leaves the watching to others hears of the store's return

Ruled out: late news (the vanishing was known within 50 ms at every host), the listing's revision. Change: a confirmation of the view after the loss ends it. Test: StoreHealth.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -270,6 +270,7 @@
       }
       before = now;
       this.#peers.sweep();
+      this.#health.recordConfirmation(this.view.confirmedAt);
       this.state.sweep();
     }
   }
--- a/packages/entry/src/fleet/store-health.ts
+++ b/packages/entry/src/fleet/store-health.ts
@@ -16,14 +16,21 @@
     return this.#lostAt !== undefined;
   }
 
+  /** The store answered this host. */
   recordSuccess(): void {
-    if (this.#lostAt === undefined) {
-      return;
+    if (this.#lostAt !== undefined) {
+      this.#regain(this.#lostAt);
+    }
+  }
+
+  /**
+   * Others were answered, the last of them at this time. A host that leaves the watching to others
+   * makes no call of its own by which it could notice.
+   */
+  recordConfirmation(confirmedAt: number): void {
+    if (this.#lostAt !== undefined && confirmedAt > this.#lostAt) {
+      this.#regain(this.#lostAt);
     }
-    const now = this.clock.now();
-    this.events.write({ event: 'store-regained', lostMilliseconds: now - this.#lostAt });
-    this.#lostAt = undefined;
-    this.returnedAt = now;
   }
 
   recordFailure(call: string, detail: string): void {
@@ -34,4 +41,11 @@
     this.returnedAt = Infinity;
     this.events.write({ event: 'store-lost', call, detail });
   }
+
+  #regain(lostAt: number): void {
+    const now = this.clock.now();
+    this.events.write({ event: 'store-regained', lostMilliseconds: now - lostAt });
+    this.#lostAt = undefined;
+    this.returnedAt = now;
+  }
 }
--- /dev/null
+++ b/packages/entry/tests/fleet/store-health.test.ts
@@ -0,0 +1,42 @@
+import { FakeClock } from '@ferrylock/test-utils';
+import { describe, expect, it } from 'vitest';
+import { StoreHealth } from '../../src/fleet/store-health.js';
+import { keepEvents } from '../fixtures.js';
+
+async function makeLost() {
+  const clock = new FakeClock();
+  const { log, events } = keepEvents();
+  const health = new StoreHealth(clock, log);
+  await clock.advance(1_000);
+  health.recordFailure('watch', 'no answer');
+  return { clock, events, health };
+}
+
+describe('StoreHealth', () => {
+  it('is lost until a call succeeds', async () => {
+    const { clock, health } = await makeLost();
+    expect(health.returnedAt).toBe(Infinity);
+    await clock.advance(500);
+    health.recordSuccess();
+    expect(health.returnedAt).toBe(1_500);
+    expect(health.isLost).toBe(false);
+  });
+
+  it('is regained by what others were answered, for a host that makes no calls itself', async () => {
+    const { clock, health } = await makeLost();
+    await clock.advance(500);
+    health.recordConfirmation(900);
+    expect(health.isLost).toBe(true);
+    health.recordConfirmation(1_400);
+    expect(health.isLost).toBe(false);
+    expect(health.returnedAt).toBe(1_500);
+  });
+
+  it('writes one line for each loss and each return', async () => {
+    const { events, health } = await makeLost();
+    health.recordFailure('list', 'no answer');
+    health.recordSuccess();
+    health.recordSuccess();
+    expect(events.map(({ event }) => event)).toEqual(['store-lost', 'store-regained']);
+  });
+});
