--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', '**/node_modules/**'] },
+  { ignores: ['**/dist/**', 'target/**', '**/node_modules/**'] },
   eslint.configs.recommended,
   ...tseslint.configs.strictTypeChecked,
   ...tseslint.configs.stylisticTypeChecked,
--- a/packages/daemon/src/http/headers.ts
+++ b/packages/daemon/src/http/headers.ts
@@ -1,4 +1,5 @@
 import type { IncomingHttpHeaders } from 'node:http';
+import { passOnHeaders } from '@ferrylock/entry';
 
 /** Caller's remaining time in milliseconds: a duration, since clocks differ. */
 export const TIMEOUT_HEADER = 'ferrylock-timeout-ms';
@@ -17,20 +18,6 @@
 /** Names one request in logs, and towards the target. */
 export const REQUEST_ID_HEADER = 'ferrylock-request-id';
 
-/** Headers that concern one connection and are not passed on (RFC 9110, 7.6.1). */
-const HOP_BY_HOP = new Set([
-  'connection',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-  'expect',
-]);
-
 const OWN_REQUEST_HEADERS = new Set([FORWARDED_HEADER, TIMEOUT_HEADER]);
 const OWN_RESPONSE_HEADERS = new Set([LOAD_REPORT_HEADER, LEAVING_HEADER, SHED_HEADER]);
 
@@ -39,33 +26,10 @@
   headers: IncomingHttpHeaders,
   added: Readonly<Record<string, string>>,
 ): Record<string, string | string[]> {
-  return Object.assign(passOn(headers, OWN_REQUEST_HEADERS), added);
+  return Object.assign(passOnHeaders(headers, OWN_REQUEST_HEADERS), added);
 }
 
 /** A target's headers as they go to the caller. */
 export function responseHeaders(headers: IncomingHttpHeaders): Record<string, string | string[]> {
-  return passOn(headers, OWN_RESPONSE_HEADERS);
-}
-
-function passOn(
-  headers: IncomingHttpHeaders,
-  own: ReadonlySet<string>,
-): Record<string, string | string[]> {
-  const passed: Record<string, string | string[]> = {};
-  const named = connectionOptions(headers.connection);
-  for (const name in headers) {
-    const value = headers[name];
-    if (value !== undefined && !HOP_BY_HOP.has(name) && !own.has(name) && !named.includes(name)) {
-      passed[name] = value;
-    }
-  }
-  return passed;
-}
-
-/** Headers that the sender names as concerning this connection only. */
-function connectionOptions(connection: string | undefined): string[] {
-  if (connection === undefined || connection === 'keep-alive' || connection === 'close') {
-    return [];
-  }
-  return connection.split(',').map((option) => option.trim().toLowerCase());
+  return passOnHeaders(headers, OWN_RESPONSE_HEADERS);
 }
--- a/packages/entry/src/fleet/store-health.ts
+++ b/packages/entry/src/fleet/store-health.ts
@@ -44,7 +44,7 @@
 
   #regain(lostAt: number): void {
     const now = this.clock.now();
-    this.events.write({ event: 'store-regained', lostMilliseconds: now - lostAt });
+    this.events.write({ event: 'store-regained', lostMilliseconds: Math.round(now - lostAt) });
     this.#lostAt = undefined;
     this.returnedAt = now;
   }
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -25,3 +25,4 @@
   HeaderDialect,
   TargetInstruction,
 } from './request/dialect.js';
+export { passOnHeaders } from './request/pass-on-headers.js';
--- a/packages/entry/src/peers/peer-table.ts
+++ b/packages/entry/src/peers/peer-table.ts
@@ -82,7 +82,7 @@
       peer: peer.name,
       incarnation: peer.incarnation,
       alive,
-      silentMilliseconds: this.clock.now() - peer.heardAt,
+      silentMilliseconds: Math.round(this.clock.now() - peer.heardAt),
     });
   }
 }
--- a/packages/entry/src/request/pass-on-headers.ts
+++ b/packages/entry/src/request/pass-on-headers.ts
@@ -14,12 +14,22 @@
   'expect',
 ]);
 
-/** Headers as they go on, without those that concern only the connection they came on. */
-export function passOnHeaders(headers: IncomingHttpHeaders): Record<string, string | string[]> {
+const NONE: ReadonlySet<string> = new Set();
+
+/**
+ * Headers as they go on, without those that concern only the connection they came on.
+ *
+ * @param own - names of headers that are meant for this host and end here
+ */
+export function passOnHeaders(
+  headers: IncomingHttpHeaders,
+  own = NONE,
+): Record<string, string | string[]> {
   const named = connectionOptions(headers.connection);
   const passed: Record<string, string | string[]> = {};
   for (const [name, value] of Object.entries(headers)) {
-    if (value !== undefined && !CONNECTION_HEADERS.has(name) && !named.includes(name)) {
+    const isConnections = CONNECTION_HEADERS.has(name) || named.includes(name);
+    if (value !== undefined && !isConnections && !own.has(name)) {
       passed[name] = value;
     }
   }
--- a/packages/entry/tests/fixtures.ts
+++ b/packages/entry/tests/fixtures.ts
@@ -1,4 +1,5 @@
-import type { Route, RouteConfiguration, TargetRecord } from '@ferrylock/routing';
+import type { RouteConfiguration, TargetRecord } from '@ferrylock/routing';
+import { makeRoute, makeTargetRecord } from '@ferrylock/test-utils';
 import { silentLogger } from '@ferrylock/utils';
 import type { EntryEvent, EntryHostRecord, FleetChange } from '../src/index.js';
 import { EventLog } from '../src/index.js';
@@ -17,23 +18,6 @@
   };
 }
 
-export function makeRoute(changes: Partial<Route> = {}): Route {
-  return {
-    name: 'verdicts',
-    host: 'verdicts.example',
-    pathPrefix: '/',
-    kind: 'repeatable',
-    timeoutMilliseconds: 800,
-    targetLatencyMilliseconds: 300,
-    priority: 0,
-    shares: [{ service: 'verdict-api', weight: 1 }],
-    mostAttempts: 2,
-    hasAffinity: true,
-    homeRegions: [],
-    ...changes,
-  };
-}
-
 export function makeConfiguration(changes: Partial<RouteConfiguration> = {}): RouteConfiguration {
   return {
     version: 1,
@@ -57,22 +41,8 @@
   };
 }
 
-export function makeTarget(changes: Partial<TargetRecord> = {}): TargetRecord {
-  return {
-    id: 'target-1',
-    service: 'verdict-api',
-    address: '127.0.0.1:1',
-    failureDomain: 'aarhus-hal',
-    softwareVersion: 'v1',
-    slots: 6,
-    state: 'ready',
-    coldMilliseconds: 0,
-    ...changes,
-  };
-}
-
 export function targetChange(revision: number, changes: Partial<TargetRecord> = {}): FleetChange {
-  const target = makeTarget(changes);
+  const target = makeTargetRecord(changes);
   return { key: `targets/${target.id}`, revision, record: { kind: 'target', target } };
 }
 
--- a/packages/routing/src/target-choice.ts
+++ b/packages/routing/src/target-choice.ts
@@ -3,6 +3,8 @@
 
 /** Ranks that are kept for keys seen; the first made go first. */
 const MOST_CACHED_RANKS = 5_000;
+/** Targets of a kept rank: so many that some of them are usable on all but the worst days. */
+const KEPT_OF_RANK = 24;
 /** Targets that are to know a key's object, so that one of them outlives the loss of any other. */
 const COPIES = 2;
 /**
@@ -76,7 +78,7 @@
     now: number,
     mayUseCold: (target: TargetState) => boolean,
   ): TargetState | undefined {
-    const usable = this.#rankOf(demand.key).filter((target) => this.#isUsable(target, demand));
+    const usable = this.#usable(demand);
     const warm = usable.filter((target) => !target.isCold(now));
     const ranked = warm.filter((target) => !target.isEjected(now));
     const sound = demand.staysNear ? this.#nearFirst(ranked) : ranked;
@@ -119,7 +121,20 @@
     return this.#options.regionOf(target.record.failureDomain);
   }
 
+  /** The usable targets in the key's order; only the first of them where there are many. */
+  #usable(demand: TargetDemand): TargetState[] {
+    const isUsable = (target: TargetState): boolean => this.#isUsable(target, demand);
+    const first = this.#firstOf(demand.key);
+    const usable = first.filter(isUsable);
+    const suffices = usable.length >= KEPT_OF_RANK / 2 || first.length === this.#members.length;
+    return suffices ? usable : this.#rankOf(demand.key).filter(isUsable);
+  }
+
   #rankOf(key: string): TargetState[] {
+    return rendezvousRank(key, this.#members, ({ id }) => id);
+  }
+
+  #firstOf(key: string): TargetState[] {
     const known = this.#ranks.get(key);
     if (known !== undefined) {
       return known;
@@ -127,9 +142,9 @@
     if (this.#ranks.size >= MOST_CACHED_RANKS) {
       this.#ranks.delete(this.#ranks.keys().next().value ?? '');
     }
-    const ranked = rendezvousRank(key, this.#members, ({ id }) => id);
-    this.#ranks.set(key, ranked);
-    return ranked;
+    const first = this.#rankOf(key).slice(0, KEPT_OF_RANK);
+    this.#ranks.set(key, first);
+    return first;
   }
 }
 
--- a/packages/routing/tests/choose-share.test.ts
+++ b/packages/routing/tests/choose-share.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest';
 import { chooseShare } from '../src/index.js';
-import { makeRoute } from './fixtures.js';
+import { makeRoute } from '@ferrylock/test-utils';
 
 const REQUESTS = 4_000;
 
--- a/packages/routing/tests/fixtures.ts
+++ b/packages/routing/tests/fixtures.ts
@@ -1,37 +1,6 @@
-import type { Route, TargetRecord } from '../src/index.js';
+import { makeTargetRecord } from '@ferrylock/test-utils';
 import { TargetState } from '../src/index.js';
 
-export function makeRoute(changes: Partial<Route> = {}): Route {
-  return {
-    name: 'verdicts',
-    host: 'verdicts.example',
-    pathPrefix: '/',
-    kind: 'repeatable',
-    timeoutMilliseconds: 800,
-    targetLatencyMilliseconds: 300,
-    priority: 0,
-    shares: [{ service: 'verdict-api', weight: 1 }],
-    mostAttempts: 2,
-    hasAffinity: true,
-    homeRegions: [],
-    ...changes,
-  };
-}
-
-export function makeRecord(changes: Partial<TargetRecord> = {}): TargetRecord {
-  return {
-    id: 'target-0',
-    service: 'verdict-api',
-    address: '127.0.0.1:1',
-    failureDomain: 'aarhus-hal',
-    softwareVersion: 'v1',
-    slots: 6,
-    state: 'ready',
-    coldMilliseconds: 0,
-    ...changes,
-  };
-}
-
 /** Targets named `target-0`, `target-1` and so on, one to a failure domain in turn. */
 export function makeTargets(
   count: number,
@@ -40,7 +9,7 @@
   const targets = new Map<string, TargetState>();
   for (let index = 0; index < count; index++) {
     const failureDomain = failureDomains[index % failureDomains.length] ?? '';
-    const record = makeRecord({ id: `target-${index}`, failureDomain });
+    const record = makeTargetRecord({ id: `target-${index}`, failureDomain });
     targets.set(record.id, new TargetState(record, 0));
   }
   return targets;
--- a/packages/routing/tests/most-load-per-slot.test.ts
+++ b/packages/routing/tests/most-load-per-slot.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest';
 import { mostLoadPerSlot } from '../src/index.js';
-import { makeRoute } from './fixtures.js';
+import { makeRoute } from '@ferrylock/test-utils';
 
 describe('mostLoadPerSlot', () => {
   const route = makeRoute({ targetLatencyMilliseconds: 300, priority: 2 });
--- a/packages/routing/tests/route-table.test.ts
+++ b/packages/routing/tests/route-table.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest';
 import { RouteTable } from '../src/index.js';
-import { makeRoute } from './fixtures.js';
+import { makeRoute } from '@ferrylock/test-utils';
 
 describe('RouteTable', () => {
   const table = new RouteTable([
--- a/packages/routing/tests/share-balancer.test.ts
+++ b/packages/routing/tests/share-balancer.test.ts
@@ -2,7 +2,7 @@
 import { describe, expect, it } from 'vitest';
 import { ShareBalancer } from '../src/index.js';
 import type { Route } from '../src/index.js';
-import { makeRoute } from './fixtures.js';
+import { makeRoute } from '@ferrylock/test-utils';
 
 function makeSplit(weights: Record<string, number>): Route {
   const shares = Object.entries(weights).map(([service, weight]) => ({ service, weight }));
--- a/packages/routing/tests/target-choice.test.ts
+++ b/packages/routing/tests/target-choice.test.ts
@@ -1,7 +1,8 @@
 import { describe, expect, it } from 'vitest';
 import { TargetChoice } from '../src/index.js';
 import type { TargetDemand, TargetState } from '../src/index.js';
-import { makeRecord, makeTargets, targetOf } from './fixtures.js';
+import { makeTargetRecord } from '@ferrylock/test-utils';
+import { makeTargets, targetOf } from './fixtures.js';
 
 const NOW = 1_000;
 const REGIONS: Record<string, string> = {
@@ -193,7 +194,7 @@
     const targets = makeTargets(3);
     const choice = makeChoice(targets);
     const cold = targetOf(targets, 'target-1');
-    cold.update(makeRecord({ id: 'target-1', coldMilliseconds: 3_000 }), NOW);
+    cold.update(makeTargetRecord({ id: 'target-1', coldMilliseconds: 3_000 }), NOW);
     for (const target of targets.values()) {
       target.inFlight = target === cold ? 0 : 12;
     }
--- a/packages/test-utils/src/index.ts
+++ b/packages/test-utils/src/index.ts
@@ -12,4 +12,5 @@
 export type { ControlFleetOptions, ControlNode } from './control-fleet.js';
 export { MemoryNetwork } from './memory-network.js';
 export type { NetworkCounts, NetworkFaults } from './memory-network.js';
+export { makeRoute, makeTargetRecord } from './routes-and-targets.js';
 export { PausableClock, ProcessPause } from './process-pause.js';
