fix: a host tells peers only what the store answered itself

All three watchers were turned away or cut off from 9.9 s on; the log shows that no host had news until 12.6 s, and that no belief grew older than 1.07 s. Each host passed the age of its confirmation on without the time that the message took; with ten hosts, five reports a second and 35 ms between regions, it grew younger faster than time went by. Ruled out: the store (it served the other hosts), lost reports. Change: reports and deltas carry the age of the sender's own last answer from the store.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -95,6 +95,7 @@
       view,
       peers: this.#peers,
       client: this.#peerClient,
+      storeAnsweredAt: () => this.#health.answeredAt,
       inFlight: () => loads.ownInFlight(),
       isLeaving: () => this.#isLeaving,
     });
--- a/packages/entry/src/fleet/store-health.ts
+++ b/packages/entry/src/fleet/store-health.ts
@@ -5,6 +5,8 @@
 export class StoreHealth {
   /** When it last began to answer after a fault; infinite while it does not answer. */
   returnedAt = -Infinity;
+  /** When the store last answered this host itself. */
+  answeredAt = -Infinity;
   #lostAt: number | undefined;
 
   constructor(
@@ -16,8 +18,13 @@
     return this.#lostAt !== undefined;
   }
 
-  /** The store answered this host. */
-  recordSuccess(): void {
+  /**
+   * The store answered this host.
+   *
+   * @param at - when it gave the answer
+   */
+  recordSuccess(at: number): void {
+    this.answeredAt = Math.max(this.answeredAt, at);
     if (this.#lostAt !== undefined) {
       this.#regain(this.#lostAt);
     }
--- a/packages/entry/src/fleet/store-watch.ts
+++ b/packages/entry/src/fleet/store-watch.ts
@@ -107,7 +107,7 @@
   #succeeded(source: string, revision: number, confirmedAt: number, changes: string[]): void {
     const { view, health, events } = this.#options;
     view.confirm(view.lastChange, confirmedAt);
-    health.recordSuccess();
+    health.recordSuccess(confirmedAt);
     if (changes.length > 0) {
       events.write({ event: 'view', source, revision, changes });
     }
--- a/packages/entry/src/peers/peer-exchange.ts
+++ b/packages/entry/src/peers/peer-exchange.ts
@@ -25,6 +25,11 @@
   readonly view: FleetView;
   readonly peers: PeerTable;
   readonly client: PeerClient;
+  /**
+   * When the store last answered this host itself. Only that is told: a confirmation that were
+   * passed on would grow younger on its way by each message's time, and go round for ever.
+   */
+  readonly storeAnsweredAt: () => number;
   /** This host's requests at targets now, by the target's id. */
   readonly inFlight: () => Record<string, number>;
   readonly isLeaving: () => boolean;
@@ -92,14 +97,14 @@
   /** Answers a peer that asks for what it does not know yet. */
   deltaFor({ afterRevision }: DeltaParams): DeltaResult {
     const { view } = this.#options;
-    const age = this.#confirmedAge();
+    const age = this.#answeredAge();
     const delta = afterRevision === 0 ? undefined : view.deltaAfter(afterRevision);
     const known = delta ?? { afterRevision: 0, revision: view.revision, changes: view.entries };
     return {
       isWhole: delta === undefined,
       ...known,
       changes: [...known.changes],
-      ...(age === undefined ? {} : { confirmedAgeMilliseconds: age }),
+      ...(age === undefined ? {} : { answeredAgeMilliseconds: age }),
     };
   }
 
@@ -111,14 +116,14 @@
     if (answer.isErr() || answer.value.revision === 0) {
       return false;
     }
-    const { isWhole, revision, changes, confirmedAgeMilliseconds } = answer.value;
+    const { isWhole, revision, changes, answeredAgeMilliseconds } = answer.value;
     if (isWhole) {
       view.replace(revision, changes);
     } else {
       view.apply(answer.value);
     }
-    if (confirmedAgeMilliseconds !== undefined) {
-      view.confirm(view.lastChange, askedAt - confirmedAgeMilliseconds);
+    if (answeredAgeMilliseconds !== undefined) {
+      view.confirm(view.lastChange, askedAt - answeredAgeMilliseconds);
     }
     if (changes.length > 0) {
       events.write({
@@ -133,22 +138,22 @@
 
   #ownReport(own: EntryHostRecord): Record<string, unknown> {
     const { view, inFlight, isLeaving } = this.#options;
-    const age = this.#confirmedAge();
+    const age = this.#answeredAge();
     this.#sequence++;
     return {
       name: own.name,
       incarnation: own.incarnation,
       sequence: this.#sequence,
       lastChange: view.lastChange,
-      ...(age === undefined ? {} : { confirmedAgeMilliseconds: age }),
+      ...(age === undefined ? {} : { answeredAgeMilliseconds: age }),
       leaving: isLeaving(),
       inFlight: inFlight(),
     };
   }
 
-  #confirmedAge(): number | undefined {
-    const { clock, view } = this.#options;
-    const age = clock.now() - view.confirmedAt;
+  #answeredAge(): number | undefined {
+    const { clock, storeAnsweredAt } = this.#options;
+    const age = clock.now() - storeAnsweredAt();
     return Number.isFinite(age) ? Math.round(age) : undefined;
   }
 
@@ -170,7 +175,7 @@
   #compare({ name, report, heardAt }: Peer): void {
     const { view } = this.#options;
     if (report.lastChange <= view.lastChange) {
-      const { confirmedAgeMilliseconds: age } = report;
+      const { answeredAgeMilliseconds: age } = report;
       if (age !== undefined) {
         view.confirm(report.lastChange, heardAt - age);
       }
--- a/packages/entry/src/peers/peer-messages.ts
+++ b/packages/entry/src/peers/peer-messages.ts
@@ -14,8 +14,8 @@
   sequence: z.number().int(),
   /** Revision of the newest change of the store that the sender knows. */
   lastChange: z.number().int(),
-  /** How long ago the store is known to have held nothing newer; absent where it never was. */
-  confirmedAgeMilliseconds: z.number().optional(),
+  /** How long ago the store itself told the sender that it held nothing newer; absent where never. */
+  answeredAgeMilliseconds: z.number().optional(),
   /** It takes no new callers. */
   leaving: z.boolean(),
   /** Its requests at targets, by the target's id; those without any are left out. */
@@ -34,7 +34,7 @@
   isWhole: z.boolean(),
   afterRevision: z.number().int(),
   revision: z.number().int(),
-  confirmedAgeMilliseconds: z.number().optional(),
+  answeredAgeMilliseconds: z.number().optional(),
   changes: z.array(fleetChangeSchema),
 });
 
--- a/packages/entry/tests/fleet/store-health.test.ts
+++ b/packages/entry/tests/fleet/store-health.test.ts
@@ -17,7 +17,7 @@
     const { clock, health } = await makeLost();
     expect(health.returnedAt).toBe(Infinity);
     await clock.advance(500);
-    health.recordSuccess();
+    health.recordSuccess(clock.now());
     expect(health.returnedAt).toBe(1_500);
     expect(health.isLost).toBe(false);
   });
@@ -33,10 +33,10 @@
   });
 
   it('writes one line for each loss and each return', async () => {
-    const { events, health } = await makeLost();
+    const { clock, events, health } = await makeLost();
     health.recordFailure('list', 'no answer');
-    health.recordSuccess();
-    health.recordSuccess();
+    health.recordSuccess(clock.now());
+    health.recordSuccess(clock.now());
     expect(events.map(({ event }) => event)).toEqual(['store-lost', 'store-regained']);
   });
 });
