fix: a body that comes slowly ends at the route's timeout

Also: a caller that left in the middle of its body was counted as 'too-many-bytes-held'; it has a reason of its own.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -116,7 +116,7 @@
       ...options,
       state: this.state,
       client: this.#client,
-      bodies: new BodyReader(settings.mostHeldBodyBytes),
+      bodies: new BodyReader(clock, settings.mostHeldBodyBytes),
       answers: new AnswerWriter({ ...options, view, metrics: this.metrics }),
       metrics: this.metrics,
       ownName: settings.name,
--- a/packages/entry/src/request/body-reader.ts
+++ b/packages/entry/src/request/body-reader.ts
@@ -1,31 +1,47 @@
 import type { IncomingMessage } from 'node:http';
+import type { Clock } from '@ferrylock/utils';
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
 
 /** Why a body could not be read whole. */
-export type BodyFailure = 'too-large' | 'too-many-bytes-held' | 'caller-gone';
+export type BodyFailure = 'too-large' | 'too-many-bytes-held' | 'too-late' | 'caller-gone';
+
+/** What one body may take. */
+export interface BodyBounds {
+  readonly mostBytes: number;
+  /** When it must have come whole, in monotonic milliseconds; infinite where nothing bounds it. */
+  readonly endAt: number;
+}
 
 /** Reads bodies whole, so that they can be sent to a second target, within a bound on all of them. */
 export class BodyReader {
   #heldBytes = 0;
 
   /** @param mostHeldBytes - bytes of all bodies together */
-  constructor(readonly mostHeldBytes: number) {}
+  constructor(
+    readonly clock: Clock,
+    readonly mostHeldBytes: number,
+  ) {}
 
   /** The body, or undefined where the request has none. */
   async read(
     request: IncomingMessage,
-    mostBytes: number,
+    bounds: BodyBounds,
   ): Promise<Result<Buffer | undefined, BodyFailure>> {
     const declared = request.headers['content-length'];
     const isChunked = request.headers['transfer-encoding'] !== undefined;
     if (!isChunked && (declared === undefined || declared === '0')) {
       return Ok(undefined);
     }
-    if (Number(declared ?? 0) > mostBytes) {
+    if (Number(declared ?? 0) > bounds.mostBytes) {
       return Err('too-large');
     }
-    return await this.#collect(request, mostBytes);
+    const end = this.#endOf(bounds);
+    try {
+      return await this.#collect(request, bounds.mostBytes, end.reached);
+    } finally {
+      end.cancel();
+    }
   }
 
   /** The body is no longer needed. */
@@ -33,9 +49,11 @@
     this.#heldBytes -= body?.length ?? 0;
   }
 
+  /** @param tooLate - resolves when the rest of the body is not waited for any longer */
   async #collect(
     request: IncomingMessage,
     mostBytes: number,
+    tooLate: Promise<'too-late'>,
   ): Promise<Result<Buffer, BodyFailure>> {
     const chunks: Buffer[] = [];
     let bytes = 0;
@@ -43,13 +61,20 @@
       this.#heldBytes -= bytes;
       return Err(failure);
     };
+    // The connection outlives a refusal: it still has to carry it.
+    const source = request.iterator({ destroyOnReturn: false }) as AsyncIterableIterator<Buffer>;
     try {
-      // The connection outlives a refusal: it still has to carry it.
-      const source = request.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>;
-      for await (const chunk of source) {
-        bytes += chunk.length;
-        this.#heldBytes += chunk.length;
-        chunks.push(chunk);
+      for (;;) {
+        const step = await Promise.race([source.next(), tooLate]);
+        if (step === 'too-late') {
+          return giveUp('too-late');
+        }
+        if (step.done === true) {
+          return Ok(Buffer.concat(chunks));
+        }
+        bytes += step.value.length;
+        this.#heldBytes += step.value.length;
+        chunks.push(step.value);
         if (bytes > mostBytes) {
           return giveUp('too-large');
         }
@@ -61,6 +86,17 @@
       // The stream fails only when the caller's connection does; there is nobody left to answer.
       return giveUp('caller-gone');
     }
-    return Ok(Buffer.concat(chunks));
+  }
+
+  #endOf({ endAt }: BodyBounds): { reached: Promise<'too-late'>; cancel: () => void } {
+    let cancel = (): void => undefined;
+    const reached = new Promise<'too-late'>((resolve) => {
+      if (Number.isFinite(endAt)) {
+        cancel = this.clock.after(Math.max(0, endAt - this.clock.now()), () => {
+          resolve('too-late');
+        });
+      }
+    });
+    return { reached, cancel };
   }
 }
--- a/packages/entry/src/request/request-forwarder.ts
+++ b/packages/entry/src/request/request-forwarder.ts
@@ -21,6 +21,13 @@
 const NO_DEADLINE = Infinity;
 /** Share of requests that go to their key's second target, so that it knows the object too. */
 const SECOND_TARGET_SHARE = 0.01;
+/** What a caller is told whose body did not come whole; one that is gone is told nothing. */
+const BODY_REFUSALS = {
+  'too-large': 'too-large',
+  'too-many-bytes-held': 'too-many-bytes-held',
+  'too-late': 'deadline-not-run',
+  'caller-gone': 'caller-gone',
+} as const;
 /** What a caller is told that came before the configuration did. */
 const NOT_READY_RETRY_SECONDS = 1;
 
@@ -95,7 +102,8 @@
     if (Number.isNaN(deadlineMilliseconds)) {
       return badRequest('expected a deadline in whole milliseconds');
     }
-    const body = await bodies.read(request, active.limits.mostBodyBytes);
+    const endAt = arrivedAt + Math.min(deadlineMilliseconds, route.timeoutMilliseconds);
+    const body = await bodies.read(request, { mostBytes: active.limits.mostBodyBytes, endAt });
     if (body.isErr()) {
       return bodyRefusal(body.error);
     }
@@ -105,7 +113,7 @@
       route,
       version: active.version,
       body: body.value,
-      endAt: arrivedAt + Math.min(deadlineMilliseconds, route.timeoutMilliseconds),
+      endAt,
     };
   }
 
@@ -268,11 +276,9 @@
 }
 
 function bodyRefusal(failure: BodyFailure): Refusal {
-  return failure === 'too-large'
-    ? { reason: 'too-large', detail: 'the body is longer than the limit', ran: 'no' }
-    : {
-        reason: 'too-many-bytes-held',
-        detail: `the body could not be read: ${failure}`,
-        ran: 'no',
-      };
+  return {
+    reason: BODY_REFUSALS[failure],
+    detail: `the body could not be read: ${failure}`,
+    ran: 'no',
+  };
 }
