--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -61,6 +61,7 @@
   readonly #tasks: BackgroundTasks;
   readonly #health: StoreHealth;
   readonly #peers: PeerTable;
+  readonly #loads: PeerLoads;
   readonly #peerClient = new PeerClient();
   readonly #client = new TargetClient();
   readonly #exchange: PeerExchange;
@@ -80,7 +81,7 @@
     this.#hosts = [settings.name];
     this.#tasks = new BackgroundTasks(events.logger);
     this.#health = new StoreHealth(clock, events);
-    this.#peers = new PeerTable(clock, events);
+    this.#peers = new PeerTable(clock, events, (name) => this.#registeredIncarnation(name));
     this.state = new RoutingState({
       ...settings,
       clock,
@@ -89,17 +90,23 @@
       ownRegion: settings.region,
       storeReturnedAt: () => this.#health.returnedAt,
     });
-    const loads = new PeerLoads(this.state, this.#peers);
+    this.#loads = new PeerLoads(clock, this.state);
     this.#exchange = new PeerExchange({
       ...options,
       view,
       peers: this.#peers,
       client: this.#peerClient,
       storeAnsweredAt: () => this.#health.answeredAt,
-      inFlight: () => loads.ownInFlight(),
+      loads: this.#loads,
       isLeaving: () => this.#isLeaving,
     });
-    const duty = new WatchDuty({ clock, view, peers: this.#peers, ownName: settings.name });
+    const duty = new WatchDuty({
+      clock,
+      view,
+      relayNames: () => this.#exchange.relayNames,
+      hostNames: () => this.#hosts,
+      ownName: settings.name,
+    });
     this.#watch = new StoreWatch({
       ...options,
       view,
@@ -241,6 +248,10 @@
     return [...new Set([this.#options.settings.name, ...registered])];
   }
 
+  #registeredIncarnation(name: string): string | undefined {
+    return this.view.records('entryHost').find(({ host }) => host.name === name)?.host.incarnation;
+  }
+
   /** Learns from the seeds while nothing is known, as when the store is away. */
   async #askSeeds(signal: AbortSignal): Promise<void> {
     const { settings, clock } = this.#options;
@@ -271,6 +282,7 @@
       }
       before = now;
       this.#peers.sweep();
+      this.#loads.sweep();
       this.#health.recordConfirmation(this.view.confirmedAt);
       this.state.sweep();
     }
--- a/packages/entry/src/peers/peer-exchange.ts
+++ b/packages/entry/src/peers/peer-exchange.ts
@@ -1,63 +1,80 @@
 import { BackgroundTasks } from '@ferrylock/utils';
 import type { Clock } from '@ferrylock/utils';
-import { createJSONRPCNotification } from 'json-rpc-2.0';
 import { z } from 'zod';
 import type { EventLog } from '../events.js';
 import type { EntryHostRecord } from '../fleet/fleet-record.js';
 import type { FleetView } from '../fleet/fleet-view.js';
+import { loadSource, MessageWriter } from './message-writer.js';
 import type { PeerClient } from './peer-client.js';
-import type { DeltaParams, DeltaResult } from './peer-messages.js';
-import { hostReportSchema, REPORT_METHOD } from './peer-messages.js';
-import type { Peer, PeerTable } from './peer-table.js';
+import type { PeerLoads } from './peer-loads.js';
+import type { DeltaParams, DeltaResult, Digest, HostReport } from './peer-messages.js';
+import { DIGEST_METHOD, digestSchema, hostReportSchema, REPORT_METHOD } from './peer-messages.js';
+import type { PeerTable } from './peer-table.js';
+import { RelayPlan } from './relay-plan.js';
 import { ReportSocket } from './report-socket.js';
+import type { StoreAnswer } from './store-answers.js';
+import { StoreAnswers } from './store-answers.js';
 
-/** Time between two reports to each peer. */
-const REPORT_MILLISECONDS = 200;
+/** Time between two rounds of messages. */
+const ROUND_MILLISECONDS = 200;
+/** Shortest time between two rounds, however much changes. */
+const SHORTEST_ROUND_MILLISECONDS = 40;
 
-const notificationSchema = z.object({
-  method: z.literal(REPORT_METHOD),
-  params: hostReportSchema,
-});
+const messageSchema = z.discriminatedUnion('method', [
+  z.object({ method: z.literal(REPORT_METHOD), params: hostReportSchema }),
+  z.object({ method: z.literal(DIGEST_METHOD), params: digestSchema }),
+]);
 
 export interface PeerExchangeOptions {
   readonly clock: Clock;
   readonly events: EventLog;
   readonly view: FleetView;
   readonly peers: PeerTable;
+  readonly loads: PeerLoads;
   readonly client: PeerClient;
-  /**
-   * When the store last answered this host itself. Only that is told: a confirmation that were
-   * passed on would grow younger on its way by each message's time, and go round for ever.
-   */
+  /** When the store last answered this host itself, in monotonic milliseconds. */
   readonly storeAnsweredAt: () => number;
-  /** This host's requests at targets now, by the target's id. */
-  readonly inFlight: () => Record<string, number>;
   readonly isLeaving: () => boolean;
 }
 
+/** What is needed once the own addresses are known. */
+interface Running {
+  readonly own: EntryHostRecord;
+  readonly plan: RelayPlan;
+  readonly writer: MessageWriter;
+}
+
 /**
- * Tells other entry hosts what this one knows and does, and takes what they tell: a small report
- * by datagram several times a second, and on a newer revision what leads to it by a call.
+ * Tells other entry hosts what this one knows and does, and takes what they tell. Each host reports
+ * to the relays of its failure domain by datagram; these tell the other domains' relays of their
+ * own domain, and their own domain of the whole fleet. What a digest does not carry of the store's
+ * changes is fetched by a call.
  */
 export class PeerExchange {
   readonly #options: PeerExchangeOptions;
   readonly #socket: ReportSocket;
   readonly #tasks: BackgroundTasks;
-  #own: EntryHostRecord | undefined;
-  #sequence = 0;
+  readonly #answers: StoreAnswers;
+  /** Newest change that each host is known to know, by its name. */
+  readonly #lastChanges = new Map<string, number>();
+  #running: Running | undefined;
+  /** Whether others rely on this host to pass on what it hears, as of the last round. */
+  #isRelay = false;
+  #toldAt = -Infinity;
+  #isRoundDue = false;
   #isFetching = false;
 
   constructor(options: PeerExchangeOptions) {
     this.#options = options;
+    this.#answers = new StoreAnswers(options.clock);
     this.#tasks = new BackgroundTasks(options.events.logger);
     this.#socket = new ReportSocket(options.events, (text) => {
-      this.#takeDatagram(text);
-    });
-    options.peers.onReport((peer) => {
-      this.#compare(peer);
+      this.takeDatagram(text);
     });
     options.view.onChanges(() => {
-      this.report();
+      if (this.#isRelay) {
+        this.report();
+      }
     });
   }
 
@@ -66,11 +83,13 @@
   }
 
   start(own: EntryHostRecord): void {
-    this.#own = own;
+    const plan = new RelayPlan({ ...this.#options, own });
+    const writer = new MessageWriter({ ...this.#options, answers: this.#answers, own });
+    this.#running = { own, plan, writer };
     this.#tasks.start('reports', async (signal) => {
       while (!signal.aborted) {
-        this.report();
-        await this.#options.clock.sleep(REPORT_MILLISECONDS, signal);
+        this.#tell();
+        await this.#options.clock.sleep(ROUND_MILLISECONDS, signal);
       }
     });
   }
@@ -78,20 +97,26 @@
   async stop(): Promise<void> {
     await this.#tasks.stop();
     this.#socket.close();
+    this.#running = undefined;
+  }
+
+  /** Names of the hosts that pass on what others tell. */
+  get relayNames(): string[] {
+    return this.#running?.plan.relayNames ?? [];
   }
 
-  /** Reports to every other host now. */
+  /** Tells others now, or as soon after the last round as is allowed. */
   report(): void {
-    const own = this.#own;
-    if (own === undefined) {
+    const { clock } = this.#options;
+    if (this.#isRoundDue) {
       return;
     }
-    const text = JSON.stringify(createJSONRPCNotification(REPORT_METHOD, this.#ownReport(own)));
-    for (const { host } of this.#options.view.records('entryHost')) {
-      if (host.name !== own.name) {
-        this.#socket.send(host.reportAddress, text);
-      }
-    }
+    this.#isRoundDue = true;
+    const wait = this.#toldAt + SHORTEST_ROUND_MILLISECONDS - clock.now();
+    clock.after(Math.max(0, wait), () => {
+      this.#isRoundDue = false;
+      this.#tell();
+    });
   }
 
   /** Answers a peer that asks for what it does not know yet. */
@@ -110,7 +135,7 @@
 
   /** Asks a peer, by its address, for what it knows beyond this host; tells whether it helped. */
   async fetchFrom(address: string): Promise<boolean> {
-    const { view, client, clock, events } = this.#options;
+    const { view, client, clock } = this.#options;
     const askedAt = clock.now();
     const answer = await client.delta(address, view.lastChange);
     if (answer.isErr() || answer.value.revision === 0) {
@@ -125,71 +150,126 @@
     if (answeredAgeMilliseconds !== undefined) {
       view.confirm(view.lastChange, askedAt - answeredAgeMilliseconds);
     }
-    if (changes.length > 0) {
-      events.write({
-        event: 'view',
-        source: address,
-        revision,
-        changes: changes.map(({ key }) => key),
-      });
-    }
+    this.#logView(address, answer.value);
     return true;
   }
 
-  #ownReport(own: EntryHostRecord): Record<string, unknown> {
-    const { view, inFlight, isLeaving } = this.#options;
-    const age = this.#answeredAge();
-    this.#sequence++;
-    return {
-      name: own.name,
-      incarnation: own.incarnation,
-      sequence: this.#sequence,
-      lastChange: view.lastChange,
-      ...(age === undefined ? {} : { answeredAgeMilliseconds: age }),
-      leaving: isLeaving(),
-      inFlight: inFlight(),
-    };
+  /** Takes a message of another host, as it came. */
+  takeDatagram(text: string): void {
+    const { events } = this.#options;
+    try {
+      const parsed = messageSchema.safeParse(JSON.parse(text));
+      if (!parsed.success) {
+        events.logger.warn('unexpected datagram', { detail: parsed.error.message });
+      } else if (parsed.data.method === REPORT_METHOD) {
+        this.#takeReport(parsed.data.params);
+      } else {
+        this.#takeDigest(parsed.data.params);
+      }
+    } catch (error) {
+      events.logger.warn('unexpected datagram', { detail: String(error) });
+    }
   }
 
-  #answeredAge(): number | undefined {
-    const { clock, storeAnsweredAt } = this.#options;
-    const age = clock.now() - storeAnsweredAt();
-    return Number.isFinite(age) ? Math.round(age) : undefined;
+  #takeReport({ status, inFlight, lastChange, storeAnswer }: HostReport): void {
+    const { peers, loads } = this.#options;
+    if (!peers.take(status, 'itself')) {
+      return;
+    }
+    loads.take(loadSource.host(status.name), inFlight);
+    this.#takeKnowledge(status.name, lastChange, storeAnswer);
   }
 
-  #takeDatagram(text: string): void {
-    const { events, peers } = this.#options;
-    try {
-      const parsed = notificationSchema.safeParse(JSON.parse(text));
-      if (parsed.success) {
-        peers.take(parsed.data.params);
-        return;
+  #takeDigest(digest: Digest): void {
+    const { from, failureDomain, scope, statuses, news, lastChange, storeAnswer } = digest;
+    const { peers, view, loads } = this.#options;
+    const own = this.#running?.own;
+    for (const status of statuses) {
+      if (status.name !== own?.name) {
+        peers.take(status, status.name === from ? 'itself' : 'another');
       }
-      events.logger.warn('unexpected datagram', { detail: parsed.error.message });
-    } catch (error) {
-      events.logger.warn('unexpected datagram', { detail: String(error) });
     }
+    if (scope === 'domain') {
+      loads.take(loadSource.domain(failureDomain), digest.inFlight);
+    } else {
+      const counted = statuses.find(({ name }) => name === own?.name)?.sequence ?? 0;
+      loads.takeFleet(loadSource.fleet, digest.inFlight, counted);
+    }
+    if (news !== undefined && news.revision > view.revision && view.apply(news)) {
+      this.#logView(from, news);
+    }
+    this.#takeKnowledge(from, lastChange, storeAnswer);
   }
 
-  /** Confirms the view by the peer's, or fetches what the peer knows beyond it. */
-  #compare({ name, report, heardAt }: Peer): void {
+  /** Fetches what a peer knows beyond this host; takes what it tells of the store's answers. */
+  #takeKnowledge(name: string, lastChange: number, answer: StoreAnswer | undefined): void {
     const { view } = this.#options;
-    if (report.lastChange <= view.lastChange) {
-      const { answeredAgeMilliseconds: age } = report;
-      if (age !== undefined) {
-        view.confirm(report.lastChange, heardAt - age);
-      }
+    this.#lastChanges.set(name, lastChange);
+    const answeredAt = answer === undefined ? undefined : this.#answers.take(answer);
+    if (lastChange > view.lastChange) {
+      this.#fetchFromPeer(name);
+    } else if (answer !== undefined && answeredAt !== undefined) {
+      view.confirm(answer.lastChange, answeredAt);
+    }
+  }
+
+  #fetchFromPeer(name: string): void {
+    const record = this.#hosts().find((host) => host.name === name);
+    if (this.#isFetching || record === undefined) {
       return;
     }
-    if (this.#isFetching) {
+    this.#isFetching = true;
+    void this.fetchFrom(record.controlAddress).finally(() => {
+      this.#isFetching = false;
+    });
+  }
+
+  #tell(): void {
+    if (this.#running === undefined) {
       return;
     }
-    const record = view.records('entryHost').find(({ host }) => host.name === name);
-    if (record !== undefined) {
-      this.#isFetching = true;
-      void this.fetchFrom(record.host.controlAddress).finally(() => {
-        this.#isFetching = false;
-      });
+    const { plan, writer } = this.#running;
+    this.#toldAt = this.#options.clock.now();
+    writer.next();
+    const { reports, members, foreignRelays } = plan.recipients();
+    this.#send(reports, () => writer.report());
+    this.#send(members, () => writer.digest('fleet', this.#knownToAll(members)));
+    this.#send(foreignRelays, () => writer.digest('domain', this.#knownToAll(foreignRelays)));
+    this.#isRelay = foreignRelays.length > 0 || members.length > 0;
+    if (this.#isRelay) {
+      // A relay hears of each host or domain; the whole is for those that do not.
+      this.#options.loads.drop(loadSource.fleet);
+    }
+  }
+
+  #send(hosts: readonly EntryHostRecord[], write: () => string): void {
+    if (hosts.length > 0) {
+      const text = write();
+      for (const { reportAddress } of hosts) {
+        this.#socket.send(reportAddress, text);
+      }
+    }
+  }
+
+  /** Newest change that all of these hosts know, as far as they have told. */
+  #knownToAll(hosts: readonly EntryHostRecord[]): number {
+    return Math.min(...hosts.map(({ name }) => this.#lastChanges.get(name) ?? Infinity));
+  }
+
+  #hosts(): EntryHostRecord[] {
+    return this.#options.view.records('entryHost').map(({ host }) => host);
+  }
+
+  #answeredAge(): number | undefined {
+    const { clock, storeAnsweredAt } = this.#options;
+    const age = clock.now() - storeAnsweredAt();
+    return Number.isFinite(age) ? Math.round(age) : undefined;
+  }
+
+  #logView(source: string, { revision, changes }: Pick<DeltaResult, 'revision' | 'changes'>): void {
+    if (changes.length > 0) {
+      const keys = changes.map(({ key }) => key);
+      this.#options.events.write({ event: 'view', source, revision, changes: keys });
     }
   }
 }
--- a/packages/entry/src/peers/peer-loads.ts
+++ b/packages/entry/src/peers/peer-loads.ts
@@ -1,19 +1,37 @@
+import type { Clock } from '@ferrylock/utils';
 import type { RoutingState } from '../routing/routing-state.js';
-import type { Peer, PeerTable } from './peer-table.js';
+import { SILENCE_MILLISECONDS } from './peer-table.js';
 
-/** Adds what peers report of their requests at targets to what is known of each target. */
+/** Requests at targets, by the target's id; those without any are left out. */
+export type InFlight = Readonly<Record<string, number>>;
+
+/** Own reports that are kept until a relay has counted them in. */
+const KEPT_REPORTS = 16;
+
+/** What one source told last. */
+interface ToldLoads {
+  readonly inFlight: InFlight;
+  readonly toldAt: number;
+}
+
+/**
+ * Requests of other entry hosts at targets. A source is a host, another failure domain as a whole,
+ * or the whole fleet; what it tells replaces what it told before.
+ */
 export class PeerLoads {
+  readonly #clock: Clock;
   readonly #state: RoutingState;
+  readonly #sources = new Map<string, ToldLoads>();
+  /** This host's last reports, by their number. */
+  readonly #reported = new Map<number, InFlight>();
 
-  constructor(state: RoutingState, peers: PeerTable) {
+  constructor(clock: Clock, state: RoutingState) {
+    this.#clock = clock;
     this.#state = state;
-    peers.onReport((peer, before) => {
-      this.#take(peer, before);
-    });
   }
 
-  /** This host's own requests, by target; those without any are left out. */
-  ownInFlight(): Record<string, number> {
+  /** This host's own requests now, to be reported under a number. */
+  report(sequence: number): InFlight {
     const inFlight: Record<string, number> = {};
     for (const { targets } of this.#state.services) {
       for (const target of targets.values()) {
@@ -22,15 +40,61 @@
         }
       }
     }
+    this.#reported.set(sequence, inFlight);
+    this.#reported.delete(sequence - KEPT_REPORTS);
     return inFlight;
   }
 
-  #take(peer: Peer, before: Peer | undefined): void {
-    for (const id of Object.keys(before?.report.inFlight ?? {})) {
-      this.#target(id)?.othersInFlight.delete(peer.name);
+  /** What all sources of a kind told, together with more. */
+  sum(isCounted: (source: string) => boolean, more: InFlight): InFlight {
+    const total: Record<string, number> = { ...more };
+    for (const [source, { inFlight }] of this.#sources) {
+      if (isCounted(source)) {
+        add(total, inFlight);
+      }
+    }
+    return total;
+  }
+
+  take(source: string, inFlight: InFlight): void {
+    this.#forget(source);
+    this.#sources.set(source, { inFlight, toldAt: this.#clock.now() });
+    for (const [id, count] of Object.entries(inFlight)) {
+      this.#target(id)?.othersInFlight.set(source, count);
+    }
+  }
+
+  /**
+   * Takes what is told of the whole fleet, less this host's own part in it.
+   *
+   * @param sequence - the report of this host that is counted in
+   */
+  takeFleet(source: string, inFlight: InFlight, sequence: number): void {
+    const others: Record<string, number> = { ...inFlight };
+    for (const [id, count] of Object.entries(this.#reported.get(sequence) ?? {})) {
+      others[id] = Math.max(0, (others[id] ?? 0) - count);
     }
-    for (const [id, count] of Object.entries(peer.report.inFlight)) {
-      this.#target(id)?.othersInFlight.set(peer.name, count);
+    this.take(source, others);
+  }
+
+  /** To be called a few times a second: drops what sources told that fell silent. */
+  sweep(): void {
+    const now = this.#clock.now();
+    for (const [source, { toldAt }] of this.#sources) {
+      if (now - toldAt > SILENCE_MILLISECONDS) {
+        this.drop(source);
+      }
+    }
+  }
+
+  drop(source: string): void {
+    this.#forget(source);
+    this.#sources.delete(source);
+  }
+
+  #forget(source: string): void {
+    for (const id of Object.keys(this.#sources.get(source)?.inFlight ?? {})) {
+      this.#target(id)?.othersInFlight.delete(source);
     }
   }
 
@@ -38,3 +102,9 @@
     return this.#state.serviceOfTarget(id)?.targets.get(id);
   }
 }
+
+function add(total: Record<string, number>, inFlight: InFlight): void {
+  for (const [id, count] of Object.entries(inFlight)) {
+    total[id] = (total[id] ?? 0) + count;
+  }
+}
--- a/packages/entry/src/peers/peer-messages.ts
+++ b/packages/entry/src/peers/peer-messages.ts
@@ -1,29 +1,15 @@
 import { z } from 'zod';
 import { fleetChangeSchema } from '../fleet/fleet-record.js';
+import { hostStatusSchema } from './host-status.js';
+import { storeAnswerSchema } from './store-answers.js';
 
 /** Name of the notification that carries a {@link HostReport} in a datagram. */
 export const REPORT_METHOD = 'entry.report';
+/** Name of the notification that carries a {@link Digest} in a datagram. */
+export const DIGEST_METHOD = 'entry.digest';
 /** Name of the call that asks a peer for what it knows of the store. */
 export const DELTA_METHOD = 'entry.delta';
 
-/** What an entry host tells its peers several times a second, in one datagram. */
-export const hostReportSchema = z.object({
-  name: z.string(),
-  incarnation: z.string(),
-  /** Grows with each report of an incarnation; older ones that arrive late are dropped. */
-  sequence: z.number().int(),
-  /** Revision of the newest change of the store that the sender knows. */
-  lastChange: z.number().int(),
-  /** How long ago the store itself told the sender that it held nothing newer; absent where never. */
-  answeredAgeMilliseconds: z.number().optional(),
-  /** It takes no new callers. */
-  leaving: z.boolean(),
-  /** Its requests at targets, by the target's id; those without any are left out. */
-  inFlight: z.record(z.string(), z.number().int()),
-});
-
-export type HostReport = z.infer<typeof hostReportSchema>;
-
 export const deltaParamsSchema = z.object({
   /** Revision of the newest change that the caller knows; 0 asks for everything. */
   afterRevision: z.number().int(),
@@ -38,5 +24,33 @@
   changes: z.array(fleetChangeSchema),
 });
 
+/** What every message between hosts tells of the store and of targets. */
+const knowledgeFields = {
+  /** Revision of the newest change of the store that the sender knows. */
+  lastChange: z.number().int(),
+  /** The newest answer of the store that the sender knows of; absent where there was none. */
+  storeAnswer: storeAnswerSchema.optional(),
+  /** Requests at targets, by the target's id; those without any are left out. */
+  inFlight: z.record(z.string(), z.number().int()),
+};
+
+/** What an entry host tells the relays of its failure domain several times a second. */
+export const hostReportSchema = z.object({ status: hostStatusSchema, ...knowledgeFields });
+
+/** What a relay tells: to other failure domains of its own one, to its own one of the whole fleet. */
+export const digestSchema = z.object({
+  /** Name of the relay. */
+  from: z.string(),
+  failureDomain: z.string(),
+  scope: z.enum(['domain', 'fleet']),
+  /** Hosts that are heard. For those of the relay's own domain, the reports that are counted in. */
+  statuses: z.array(hostStatusSchema),
+  /** The last few changes, so that most receivers need not ask for them. */
+  news: deltaResultSchema.omit({ isWhole: true, answeredAgeMilliseconds: true }).optional(),
+  ...knowledgeFields,
+});
+
 export type DeltaParams = z.infer<typeof deltaParamsSchema>;
 export type DeltaResult = z.infer<typeof deltaResultSchema>;
+export type HostReport = z.infer<typeof hostReportSchema>;
+export type Digest = z.infer<typeof digestSchema>;
--- a/packages/entry/src/peers/peer-table.ts
+++ b/packages/entry/src/peers/peer-table.ts
@@ -1,88 +1,94 @@
 import type { Clock } from '@ferrylock/utils';
 import type { EventLog } from '../events.js';
 import type { EntryHostRecord } from '../fleet/fleet-record.js';
-import type { HostReport } from './peer-messages.js';
+import type { HostStatus } from './host-status.js';
 
-/** A peer that has not been heard from for this long is taken to be dead or cut off. */
-export const SILENCE_MILLISECONDS = 1_300;
+/**
+ * A host of which no new report was heard for this long is taken to be dead or cut off: several
+ * reports, and the time that a relay keeps each.
+ */
+export const SILENCE_MILLISECONDS = 1_500;
 
 /** What is known about another entry host. */
-export interface Peer {
-  readonly name: string;
-  readonly incarnation: string;
-  readonly report: HostReport;
+export interface Peer extends HostStatus {
+  /** When its newest report was heard of, in monotonic milliseconds. */
   readonly heardAt: number;
 }
 
-/** The entry hosts that are heard from, and what they told last. */
+/** How a status came here: from the host itself, or from one that heard it. */
+export type HeardFrom = 'itself' | 'another';
+
+/**
+ * The entry hosts that are heard of, at first hand or through relays. What was heard last of a host
+ * is kept after it fell silent, so that the same news on a longer way does not bring it back.
+ */
 export class PeerTable {
   readonly #peers = new Map<string, Peer>();
-  readonly #reportListeners: ((peer: Peer, before: Peer | undefined) => void)[] = [];
+  readonly #silent = new Set<string>();
 
+  /** @param registeredIncarnation - the start of a host that the store holds, by the host's name */
   constructor(
     readonly clock: Clock,
     readonly events: EventLog,
+    readonly registeredIncarnation: (name: string) => string | undefined,
   ) {}
 
-  /** Calls back with each report taken, and with a peer's last one when it falls silent. */
-  onReport(listener: (peer: Peer, before: Peer | undefined) => void): void {
-    this.#reportListeners.push(listener);
-  }
-
   get alive(): Peer[] {
-    return [...this.#peers.values()];
+    return [...this.#peers.values()].filter(({ name }) => !this.#silent.has(name));
   }
 
+  /** A host that is heard of; undefined where it is not, or no longer. */
   get(name: string): Peer | undefined {
-    return this.#peers.get(name);
+    return this.#silent.has(name) ? undefined : this.#peers.get(name);
   }
 
   /** Whether this start of the host takes callers, as far as is known here. */
   takesCallers(host: EntryHostRecord): boolean {
-    const peer = this.#peers.get(host.name);
-    return peer?.incarnation === host.incarnation && !peer.report.leaving;
+    const peer = this.get(host.name);
+    return peer?.incarnation === host.incarnation && !peer.leaving;
   }
 
-  take(report: HostReport): void {
-    const before = this.#peers.get(report.name);
-    const isOld =
-      before?.incarnation === report.incarnation && before.report.sequence >= report.sequence;
-    if (isOld) {
-      return;
+  /** Takes what was heard of a host; tells whether it was news. */
+  take(status: HostStatus, from: HeardFrom): boolean {
+    const before = this.#peers.get(status.name);
+    if (before !== undefined && !this.#isNewer(status, before, from)) {
+      return false;
     }
-    const { name, incarnation } = report;
-    const peer = { name, incarnation, report, heardAt: this.clock.now() };
-    this.#peers.set(name, peer);
-    if (before?.incarnation !== incarnation) {
+    const peer = { ...status, heardAt: this.clock.now() };
+    this.#peers.set(status.name, peer);
+    const wasSilent = this.#silent.delete(status.name);
+    if (before?.incarnation !== status.incarnation || wasSilent) {
       this.#log(peer, true);
     }
-    for (const listener of this.#reportListeners) {
-      listener(peer, before);
-    }
+    return true;
   }
 
-  /** To be called a few times a second: drops peers that fell silent. */
+  /** To be called a few times a second: notices hosts that fell silent. */
   sweep(): void {
     const now = this.clock.now();
     for (const peer of this.alive) {
       if (now - peer.heardAt > SILENCE_MILLISECONDS) {
-        this.#peers.delete(peer.name);
+        this.#silent.add(peer.name);
         this.#log(peer, false);
-        const emptied = { ...peer, report: { ...peer.report, inFlight: {} } };
-        for (const listener of this.#reportListeners) {
-          listener(emptied, peer);
-        }
       }
     }
   }
 
-  #log(peer: Peer, alive: boolean): void {
+  /** What others tell of another start may be long over; the store knows which one is the last. */
+  #isNewer(status: HostStatus, before: Peer, from: HeardFrom): boolean {
+    if (status.incarnation === before.incarnation) {
+      return status.sequence > before.sequence;
+    }
+    return from === 'itself' || status.incarnation === this.registeredIncarnation(status.name);
+  }
+
+  #log({ name, incarnation, heardAt }: Peer, alive: boolean): void {
     this.events.write({
       event: 'peer',
-      peer: peer.name,
-      incarnation: peer.incarnation,
+      peer: name,
+      incarnation,
       alive,
-      silentMilliseconds: Math.round(this.clock.now() - peer.heardAt),
+      silentMilliseconds: Math.round(this.clock.now() - heardAt),
     });
   }
 }
--- /dev/null
+++ b/packages/entry/src/peers/relay-plan.ts
@@ -0,0 +1,116 @@
+import { rendezvousRank } from '@ferrylock/utils';
+import type { Clock } from '@ferrylock/utils';
+import type { EntryHostRecord } from '../fleet/fleet-record.js';
+import type { FleetView } from '../fleet/fleet-view.js';
+import type { PeerTable } from './peer-table.js';
+import { SILENCE_MILLISECONDS } from './peer-table.js';
+
+/** Hosts of a failure domain that pass on what the others tell, so that one of them may fail. */
+export const RELAYS_PER_DOMAIN = 2;
+
+export interface RelayPlanOptions {
+  readonly clock: Clock;
+  readonly view: FleetView;
+  readonly peers: PeerTable;
+  readonly own: EntryHostRecord;
+}
+
+/** To whom this host sends what, at one moment. */
+export interface Recipients {
+  /** Hosts that take its report. */
+  readonly reports: readonly EntryHostRecord[];
+  /** Hosts of the own failure domain that it tells of the fleet; none unless it is a relay. */
+  readonly members: readonly EntryHostRecord[];
+  /** Relays of other failure domains that it tells of its own; none unless it is a relay. */
+  readonly foreignRelays: readonly EntryHostRecord[];
+}
+
+/**
+ * Who passes reports on. The relays of a failure domain are found without an election: its hosts
+ * rank themselves by what they can carry, and those that are heard and stand first are the relays.
+ * Hosts that disagree for a moment send a few messages too many, and lose nothing.
+ */
+export class RelayPlan {
+  readonly #options: RelayPlanOptions;
+  /** When each start of a host was first seen in the store. */
+  readonly #seenAt = new Map<string, number>();
+  #turn = 0;
+
+  constructor(options: RelayPlanOptions) {
+    this.#options = options;
+  }
+
+  /** Names of the relays of all failure domains; few even in a large fleet. */
+  get relayNames(): string[] {
+    return [...this.#domains().values()].flatMap((hosts) => this.#relays(hosts)).map(nameOf);
+  }
+
+  recipients(): Recipients {
+    const { own, peers } = this.#options;
+    const domains = this.#domains();
+    const domain = domains.get(own.failureDomain) ?? [];
+    domains.delete(own.failureDomain);
+    const others = domain.filter(({ name }) => name !== own.name);
+    const relays = this.#relays(domain).map(nameOf);
+    const isRelay = (host: EntryHostRecord): boolean => relays.includes(host.name);
+    const isHeard = (host: EntryHostRecord): boolean => peers.get(host.name) !== undefined;
+    const reports = others.some(isHeard) ? others.filter(isRelay) : others;
+    if (!relays.includes(own.name)) {
+      return { reports, members: [], foreignRelays: [] };
+    }
+    this.#turn++;
+    return {
+      reports,
+      members: others.filter((host) => isHeard(host) && !isRelay(host)),
+      foreignRelays: [...domains.values()].flatMap((hosts) => this.#reachable(hosts)),
+    };
+  }
+
+  /** Its relays; where none of its hosts is heard, each of them in turn. */
+  #reachable(hosts: readonly EntryHostRecord[]): EntryHostRecord[] {
+    const relays = this.#relays(hosts);
+    const next = hosts[this.#turn % hosts.length];
+    return relays.length > 0 || next === undefined ? relays : [next];
+  }
+
+  #relays(hosts: readonly EntryHostRecord[]): EntryHostRecord[] {
+    return hosts.filter((host) => this.#mayRun(host)).slice(0, RELAYS_PER_DOMAIN);
+  }
+
+  /** Registered hosts by failure domain, those first that are to be relays. */
+  #domains(): Map<string, EntryHostRecord[]> {
+    const { view, own } = this.#options;
+    const registered = view.records('entryHost').map(({ host }) => host);
+    const others = registered.filter(({ name }) => name !== own.name);
+    const domains = new Map<string, EntryHostRecord[]>();
+    for (const host of [own, ...others]) {
+      const hosts = domains.get(host.failureDomain) ?? [];
+      hosts.push(host);
+      domains.set(host.failureDomain, hosts);
+    }
+    for (const [domain, hosts] of domains) {
+      domains.set(domain, ranked(domain, hosts));
+    }
+    return domains;
+  }
+
+  /** Heard of, or registered so lately that it may not have been heard yet. */
+  #mayRun({ name, incarnation }: EntryHostRecord): boolean {
+    const { clock, peers, own } = this.#options;
+    if (name === own.name || peers.get(name) !== undefined) {
+      return true;
+    }
+    const seenAt = this.#seenAt.get(incarnation) ?? clock.now();
+    this.#seenAt.set(incarnation, seenAt);
+    return clock.now() - seenAt < SILENCE_MILLISECONDS;
+  }
+}
+
+/** A failure domain's hosts, those that can carry most first, equals in an order of their own. */
+function ranked(domain: string, hosts: readonly EntryHostRecord[]): EntryHostRecord[] {
+  return rendezvousRank(`relay ${domain}`, hosts, nameOf).sort((a, b) => b.capacity - a.capacity);
+}
+
+function nameOf({ name }: EntryHostRecord): string {
+  return name;
+}
--- /dev/null
+++ b/packages/entry/src/peers/store-answers.ts
@@ -0,0 +1,62 @@
+import type { Clock } from '@ferrylock/utils';
+import { z } from 'zod';
+
+/** That the store itself told a host at some time that it held nothing newer than a change. */
+export const storeAnswerSchema = z.object({
+  /** Host and start that were answered. */
+  name: z.string(),
+  incarnation: z.string(),
+  /** Its report that told so first. */
+  sequence: z.number().int(),
+  /** Revision of the newest change that it knew then. */
+  lastChange: z.number().int(),
+  ageMilliseconds: z.number(),
+});
+
+/** An answer as it travels, with its age at the time of sending. */
+export type StoreAnswer = z.infer<typeof storeAnswerSchema>;
+
+/** An answer as it is kept, by this host's own clock. */
+interface KeptAnswer extends Omit<StoreAnswer, 'ageMilliseconds'> {
+  readonly at: number;
+}
+
+/**
+ * The newest answer of the store that this host heard of, to be passed on. Each answer is taken
+ * once, by the number of the report that told it first: otherwise it would grow younger on each way
+ * between hosts by the time of the message, and go round for ever.
+ */
+export class StoreAnswers {
+  readonly #clock: Clock;
+  /** Newest report taken of each host. */
+  readonly #taken = new Map<string, { incarnation: string; sequence: number }>();
+  #newest: KeptAnswer | undefined;
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  /** The newest answer, with its present age; undefined before the first. */
+  get newest(): StoreAnswer | undefined {
+    if (this.#newest === undefined) {
+      return undefined;
+    }
+    const { at, ...answer } = this.#newest;
+    return { ...answer, ageMilliseconds: Math.round(this.#clock.now() - at) };
+  }
+
+  /** Takes an answer that was heard of; tells when it was given, or undefined where it is not new. */
+  take(answer: StoreAnswer): number | undefined {
+    const { name, incarnation, sequence, lastChange, ageMilliseconds } = answer;
+    const taken = this.#taken.get(name);
+    if (taken?.incarnation === incarnation && taken.sequence >= sequence) {
+      return undefined;
+    }
+    this.#taken.set(name, { incarnation, sequence });
+    const at = this.#clock.now() - ageMilliseconds;
+    if (at > (this.#newest?.at ?? -Infinity)) {
+      this.#newest = { name, incarnation, sequence, lastChange, at };
+    }
+    return at;
+  }
+}
--- a/packages/entry/src/watch-duty.ts
+++ b/packages/entry/src/watch-duty.ts
@@ -1,43 +1,63 @@
 import { rendezvousRank } from '@ferrylock/utils';
 import type { Clock } from '@ferrylock/utils';
 import type { FleetView } from './fleet/fleet-view.js';
-import type { PeerTable } from './peers/peer-table.js';
 
 /** Hosts that wait at the store at the same time; the others hear from them. */
 const WATCHERS = 3;
 /**
  * Age of the newest confirmation at which a host no longer relies on others and asks the store
- * itself. Above the time of one wait and the reports after it, below every bound on changes.
+ * itself. Above the time of one wait and the messages after it, below every bound on changes.
  */
 const STALE_MILLISECONDS = 1_500;
+/** Hosts do not all ask at once: each waits this much longer than the one ranked before it. */
+const STAGGER_MILLISECONDS = 30;
+/** Longest that a host waits for those ranked before it. */
+const LONGEST_STAGGER_MILLISECONDS = 300;
 
 export interface WatchDutyOptions {
   readonly clock: Clock;
   readonly view: FleetView;
-  readonly peers: PeerTable;
+  /** Hosts that pass on what others tell: what one of them learns reaches all soonest. */
+  readonly relayNames: () => readonly string[];
+  /** All registered hosts; the same array while nothing changes. */
+  readonly hostNames: () => readonly string[];
   readonly ownName: string;
 }
 
 /**
  * Whether this host is one of the few that wait at the store. All hosts that hear from one another
  * come to the same few without an election; where these fail, the others notice that nothing is
- * confirmed any more and ask for themselves.
+ * confirmed any more and ask for themselves, a few at a time.
  */
 export class WatchDuty {
   readonly #options: WatchDutyOptions;
+  #rankedHosts: readonly string[] = [];
+  #rank = 0;
 
   constructor(options: WatchDutyOptions) {
     this.#options = options;
   }
 
   get isNeeded(): boolean {
-    const { clock, view, peers, ownName } = this.#options;
-    if (view.isEmpty || clock.now() - view.confirmedAt > STALE_MILLISECONDS) {
+    const { clock, view, relayNames, ownName } = this.#options;
+    const age = clock.now() - view.confirmedAt;
+    if (view.isEmpty || age > STALE_MILLISECONDS + this.#stagger()) {
       return true;
     }
-    const names = [ownName, ...peers.alive.map(({ name }) => name)];
-    return rendezvousRank('store watch', names, (name) => name)
-      .slice(0, WATCHERS)
-      .includes(ownName);
+    return watchOrder(relayNames()).slice(0, WATCHERS).includes(ownName);
   }
+
+  #stagger(): number {
+    const { hostNames, ownName } = this.#options;
+    const hosts = hostNames();
+    if (hosts !== this.#rankedHosts) {
+      this.#rankedHosts = hosts;
+      this.#rank = watchOrder(hosts).indexOf(ownName);
+    }
+    return Math.min(LONGEST_STAGGER_MILLISECONDS, this.#rank * STAGGER_MILLISECONDS);
+  }
+}
+
+function watchOrder(names: readonly string[]): string[] {
+  return rendezvousRank('store watch', names, (name) => name);
 }
--- a/packages/entry/tests/peers/peer-exchange.test.ts
+++ b/packages/entry/tests/peers/peer-exchange.test.ts
@@ -1,54 +1,136 @@
 import { FakeClock } from '@ferrylock/test-utils';
+import { createJSONRPCNotification } from 'json-rpc-2.0';
 import { describe, expect, it } from 'vitest';
 import { FleetView } from '../../src/index.js';
 import { PeerClient } from '../../src/peers/peer-client.js';
 import { PeerExchange } from '../../src/peers/peer-exchange.js';
+import { PeerLoads } from '../../src/peers/peer-loads.js';
+import { DIGEST_METHOD, REPORT_METHOD } from '../../src/peers/peer-messages.js';
 import { PeerTable } from '../../src/peers/peer-table.js';
+import { RoutingState } from '../../src/routing/routing-state.js';
 import { keepEvents, targetChange } from '../fixtures.js';
 
 async function makeExchange() {
   const clock = new FakeClock();
-  const { log } = keepEvents();
+  const { log, events } = keepEvents();
   const view = new FleetView();
-  const peers = new PeerTable(clock, log);
+  const peers = new PeerTable(clock, log, () => undefined);
   const store = { answeredAt: -Infinity };
+  const state = new RoutingState({
+    clock,
+    events: log,
+    view,
+    ownRegion: 'jylland',
+    regions: {},
+    drainMilliseconds: 2_000,
+    retryBound: { ratio: 0.2, slack: 10, windowMilliseconds: 10_000 },
+    storeReturnedAt: () => -Infinity,
+  });
   const exchange = new PeerExchange({
     clock,
     events: log,
     view,
     peers,
+    loads: new PeerLoads(clock, state),
     client: new PeerClient(),
     storeAnsweredAt: () => store.answeredAt,
-    inFlight: () => ({}),
     isLeaving: () => false,
   });
   view.replace(5, [targetChange(5)]);
   await clock.advance(1_000);
-  return { clock, view, peers, store, exchange };
+  return { clock, view, peers, state, store, exchange, events };
+}
+
+/** A watcher's report that the store had nothing newer than this change. */
+function reportText(ageMilliseconds: number, lastChange = 5, sequence = 1): string {
+  const source = { name: 'watcher', incarnation: 'first', sequence };
+  return JSON.stringify(
+    createJSONRPCNotification(REPORT_METHOD, {
+      status: [source.name, source.incarnation, sequence, false],
+      lastChange,
+      storeAnswer: { ...source, lastChange, ageMilliseconds },
+      inFlight: {},
+    }),
+  );
 }
 
-function report(answeredAgeMilliseconds: number, lastChange = 5) {
-  return {
-    name: 'watcher',
-    incarnation: 'first',
-    sequence: lastChange,
-    lastChange,
-    answeredAgeMilliseconds,
-    leaving: false,
-    inFlight: {},
-  };
+function digestText(changes: Record<string, unknown> = {}): string {
+  return JSON.stringify(
+    createJSONRPCNotification(DIGEST_METHOD, {
+      from: 'relay',
+      failureDomain: 'odense-hal',
+      scope: 'domain',
+      statuses: [
+        ['relay', 'first', 3, false],
+        ['member', 'first', 8, true],
+      ],
+      lastChange: 5,
+      inFlight: {},
+      ...changes,
+    }),
+  );
 }
 
 describe('PeerExchange', () => {
   it('takes a peer’s answer from the store as a confirmation of its own view', async () => {
-    const { view, peers } = await makeExchange();
-    peers.take(report(200));
+    const { view, exchange } = await makeExchange();
+    exchange.takeDatagram(reportText(200));
     expect(view.confirmedAt).toBe(800);
   });
 
-  it('does not pass on what only others were answered', async () => {
+  it('takes an answer once, however often it is told', async () => {
+    const { clock, view, exchange } = await makeExchange();
+    exchange.takeDatagram(reportText(200));
+    await clock.advance(500);
+    const { inFlight, lastChange, storeAnswer } = {
+      inFlight: {},
+      lastChange: 5,
+      storeAnswer: {
+        name: 'watcher',
+        incarnation: 'first',
+        sequence: 1,
+        lastChange: 5,
+        ageMilliseconds: 200,
+      },
+    };
+    exchange.takeDatagram(digestText({ inFlight, lastChange, storeAnswer }));
+    expect(view.confirmedAt).toBe(800);
+  });
+
+  it('does not take a confirmation of changes that it lacks', async () => {
+    const { view, exchange } = await makeExchange();
+    exchange.takeDatagram(reportText(200, 6));
+    expect(view.confirmedAt).toBe(-Infinity);
+  });
+
+  it('takes the changes that a digest carries', async () => {
+    const { view, exchange, events } = await makeExchange();
+    const news = { afterRevision: 5, revision: 6, changes: [targetChange(6, { id: 'new' })] };
+    exchange.takeDatagram(digestText({ lastChange: 6, news }));
+    expect(view.lastChange).toBe(6);
+    expect(events.at(-1)).toMatchObject({ event: 'view', source: 'relay', revision: 6 });
+  });
+
+  it('hears of the hosts of another domain from its relay', async () => {
     const { peers, exchange } = await makeExchange();
-    peers.take(report(200));
+    exchange.takeDatagram(digestText());
+    expect(peers.alive.map(({ name, leaving }) => [name, leaving])).toEqual([
+      ['relay', false],
+      ['member', true],
+    ]);
+  });
+
+  it('counts the requests of another domain at a target', async () => {
+    const { clock, state, exchange } = await makeExchange();
+    const [service] = [...state.services];
+    const [target] = [...(service?.targets.values() ?? [])];
+    exchange.takeDatagram(digestText({ inFlight: { [target?.id ?? '']: 3 } }));
+    expect(target?.load(clock.now())).toBe(3);
+  });
+
+  it('does not pass on, in answers to calls, what only others were answered', async () => {
+    const { exchange } = await makeExchange();
+    exchange.takeDatagram(reportText(200));
     expect(exchange.deltaFor({ afterRevision: 0 }).answeredAgeMilliseconds).toBeUndefined();
   });
 
@@ -67,4 +149,11 @@
     expect(exchange.deltaFor({ afterRevision: 2 })).toMatchObject({ isWhole: true });
     expect(exchange.deltaFor({ afterRevision: 2 }).changes).toHaveLength(2);
   });
+
+  it('says what is wrong with a message that it does not understand, and goes on', async () => {
+    const { peers, exchange } = await makeExchange();
+    exchange.takeDatagram('{"method":"entry.report","params":{}}');
+    exchange.takeDatagram('no JSON');
+    expect(peers.alive).toEqual([]);
+  });
 });
--- /dev/null
+++ b/packages/entry/tests/peers/peer-loads.test.ts
@@ -0,0 +1,71 @@
+import { FakeClock } from '@ferrylock/test-utils';
+import { describe, expect, it } from 'vitest';
+import { FleetView } from '../../src/index.js';
+import { PeerLoads } from '../../src/peers/peer-loads.js';
+import { SILENCE_MILLISECONDS } from '../../src/peers/peer-table.js';
+import { RoutingState } from '../../src/routing/routing-state.js';
+import { keepEvents, targetChange } from '../fixtures.js';
+
+function makeLoads() {
+  const clock = new FakeClock();
+  const { log } = keepEvents();
+  const view = new FleetView();
+  const state = new RoutingState({
+    clock,
+    events: log,
+    view,
+    ownRegion: 'jylland',
+    regions: {},
+    drainMilliseconds: 2_000,
+    retryBound: { ratio: 0.2, slack: 10, windowMilliseconds: 10_000 },
+    storeReturnedAt: () => -Infinity,
+  });
+  view.replace(1, [targetChange(1, { id: 'a' }), targetChange(1, { id: 'b' })]);
+  const target = (id: string) => {
+    const found = state.serviceOfTarget(id)?.targets.get(id);
+    if (found === undefined) {
+      throw new Error(`no target ${id}`);
+    }
+    return found;
+  };
+  return { clock, loads: new PeerLoads(clock, state), target };
+}
+
+describe('PeerLoads', () => {
+  it('adds what the sources tell of a target, the last of each', () => {
+    const { loads, target, clock } = makeLoads();
+    loads.take('host h1', { a: 2, b: 1 });
+    loads.take('domain d1', { a: 3 });
+    loads.take('host h1', { a: 1 });
+    expect(target('a').load(clock.now())).toBe(4);
+    expect(target('b').load(clock.now())).toBe(0);
+  });
+
+  it('leaves its own part out of what is told of the whole fleet', () => {
+    const { loads, target, clock } = makeLoads();
+    target('a').inFlight = 2;
+    loads.report(7);
+    target('a').inFlight = 5;
+    loads.report(8);
+    loads.takeFleet('fleet', { a: 6, b: 1 }, 7);
+    expect(target('a').load(clock.now())).toBe(5 + 4);
+    expect(target('b').load(clock.now())).toBe(1);
+  });
+
+  it('forgets what a source told that fell silent', async () => {
+    const { clock, loads, target } = makeLoads();
+    loads.take('host h1', { a: 2 });
+    await clock.advance(SILENCE_MILLISECONDS + 1);
+    loads.sweep();
+    expect(target('a').load(clock.now())).toBe(0);
+  });
+
+  it('sums the sources of a kind', () => {
+    const { loads } = makeLoads();
+    loads.take('host h1', { a: 2 });
+    loads.take('domain d1', { a: 3, b: 1 });
+    const isHost = (source: string): boolean => source.startsWith('host');
+    expect(loads.sum(isHost, { b: 4 })).toEqual({ a: 2, b: 4 });
+    expect(loads.sum(() => true, { b: 4 })).toEqual({ a: 5, b: 5 });
+  });
+});
--- a/packages/entry/tests/peers/peer-table.test.ts
+++ b/packages/entry/tests/peers/peer-table.test.ts
@@ -1,52 +1,67 @@
 import { FakeClock } from '@ferrylock/test-utils';
 import { describe, expect, it } from 'vitest';
-import type { HostReport } from '../../src/peers/peer-messages.js';
+import type { HostStatus } from '../../src/peers/host-status.js';
 import { PeerTable, SILENCE_MILLISECONDS } from '../../src/peers/peer-table.js';
 import { keepEvents, makeHostRecord } from '../fixtures.js';
 
-function makeReport(changes: Partial<HostReport> = {}): HostReport {
-  return {
-    name: 'host-1',
-    incarnation: 'first',
-    sequence: 1,
-    lastChange: 0,
-    leaving: false,
-    inFlight: {},
-    ...changes,
-  };
+function makeStatus(changes: Partial<HostStatus> = {}): HostStatus {
+  return { name: 'host-1', incarnation: 'first', sequence: 1, leaving: false, ...changes };
 }
 
-function makeTable() {
+function makeTable(registered = 'first') {
   const clock = new FakeClock();
   const { log, events } = keepEvents();
-  return { clock, events, table: new PeerTable(clock, log) };
+  return { clock, events, table: new PeerTable(clock, log, () => registered) };
 }
 
 describe('PeerTable', () => {
   it('drops a peer that falls silent, and says so', async () => {
     const { clock, table, events } = makeTable();
-    table.take(makeReport());
+    table.take(makeStatus(), 'itself');
     await clock.advance(SILENCE_MILLISECONDS + 1);
     table.sweep();
     expect(table.alive).toEqual([]);
+    expect(table.get('host-1')).toBeUndefined();
     expect(events.map(({ event }) => event)).toEqual(['peer', 'peer']);
     expect(events[1]).toMatchObject({ peer: 'host-1', alive: false });
   });
 
-  it('ignores a report that comes after a later one', () => {
+  it.each(['itself', 'another'] as const)('ignores a status from %s that is not newer', (from) => {
     const { table } = makeTable();
-    table.take(makeReport({ sequence: 5, inFlight: { a: 1 } }));
-    table.take(makeReport({ sequence: 4, inFlight: { a: 9 } }));
-    expect(table.get('host-1')?.report.inFlight).toEqual({ a: 1 });
+    table.take(makeStatus({ sequence: 5 }), 'itself');
+    expect(table.take(makeStatus({ sequence: 5, leaving: true }), from)).toBe(false);
+    expect(table.get('host-1')?.leaving).toBe(false);
+  });
+
+  it('does not bring a silent peer back by what others still tell of it', async () => {
+    const { clock, table } = makeTable();
+    table.take(makeStatus({ sequence: 5 }), 'itself');
+    await clock.advance(SILENCE_MILLISECONDS + 1);
+    table.sweep();
+    expect(table.take(makeStatus({ sequence: 5 }), 'another')).toBe(false);
+    expect(table.alive).toEqual([]);
+    expect(table.take(makeStatus({ sequence: 6 }), 'another')).toBe(true);
+    expect(table.alive).toHaveLength(1);
   });
 
   it('takes a restarted peer’s first report', () => {
     const { table } = makeTable();
-    table.take(makeReport({ sequence: 500 }));
-    table.take(makeReport({ incarnation: 'second', sequence: 1 }));
+    table.take(makeStatus({ sequence: 500 }), 'itself');
+    table.take(makeStatus({ incarnation: 'second', sequence: 1 }), 'itself');
     expect(table.get('host-1')?.incarnation).toBe('second');
   });
 
+  it.each([
+    ['first', 'second'],
+    ['second', 'second'],
+  ])('believes others of another start only if it is registered: known %s', (known, expected) => {
+    const { table } = makeTable('second');
+    table.take(makeStatus({ incarnation: known, sequence: 9 }), 'itself');
+    const other = known === 'first' ? 'second' : 'first';
+    table.take(makeStatus({ incarnation: other, sequence: 50 }), 'another');
+    expect(table.get('host-1')?.incarnation).toBe(expected);
+  });
+
   it.each([
     ['the same start of it', {}, true],
     ['another start of it', { incarnation: 'second' }, false],
@@ -54,17 +69,7 @@
     ['one that is not heard from', { name: 'host-2' }, false],
   ])('sends callers to a host where reports are of %s: %o', (_case, changes, expected) => {
     const { table } = makeTable();
-    table.take(makeReport(changes));
+    table.take(makeStatus(changes), 'itself');
     expect(table.takesCallers(makeHostRecord())).toBe(expected);
   });
-
-  it('tells listeners that a silent peer has nothing under way', async () => {
-    const { clock, table } = makeTable();
-    const told: Record<string, number>[] = [];
-    table.onReport((peer) => told.push(peer.report.inFlight));
-    table.take(makeReport({ inFlight: { a: 2 } }));
-    await clock.advance(SILENCE_MILLISECONDS + 1);
-    table.sweep();
-    expect(told).toEqual([{ a: 2 }, {}]);
-  });
 });
--- /dev/null
+++ b/packages/entry/tests/peers/relay-plan.test.ts
@@ -0,0 +1,109 @@
+import { FakeClock } from '@ferrylock/test-utils';
+import { describe, expect, it } from 'vitest';
+import type { EntryHostRecord } from '../../src/index.js';
+import { FleetView } from '../../src/index.js';
+import { PeerTable, SILENCE_MILLISECONDS } from '../../src/peers/peer-table.js';
+import { RelayPlan } from '../../src/peers/relay-plan.js';
+import { hostChange, keepEvents } from '../fixtures.js';
+
+interface PlannedFleet {
+  readonly domains: number;
+  readonly hostsPerDomain: number;
+}
+
+/** Hosts of domains `d0`, `d1`, ..., named after their domain; the last of each can carry most. */
+function makeHosts({ domains, hostsPerDomain }: PlannedFleet): Partial<EntryHostRecord>[] {
+  return Array.from({ length: domains * hostsPerDomain }, (_, index) => {
+    const domain = `d${Math.floor(index / hostsPerDomain)}`;
+    const place = index % hostsPerDomain;
+    const name = `${domain}-h${place}`;
+    const capacity = place >= hostsPerDomain - 2 ? 1.35 : 0.27;
+    return { name, incarnation: `start of ${name}`, failureDomain: domain, capacity };
+  });
+}
+
+function makePlan(fleet: PlannedFleet, ownName: string) {
+  const clock = new FakeClock();
+  const { log } = keepEvents();
+  const view = new FleetView();
+  const hosts = makeHosts(fleet);
+  view.replace(
+    1,
+    hosts.map((host) => hostChange(1, host)),
+  );
+  const peers = new PeerTable(clock, log, () => undefined);
+  const records = view.records('entryHost').map(({ host }) => host);
+  const own = records.find(({ name }) => name === ownName);
+  if (own === undefined) {
+    throw new Error(`no host ${ownName}`);
+  }
+  const plan = new RelayPlan({ clock, view, peers, own });
+  const hear = (isHeard: (name: string) => boolean): void => {
+    for (const { name, incarnation } of records.filter((host) => isHeard(host.name))) {
+      const sequence = (peers.get(name)?.sequence ?? 0) + 1;
+      peers.take({ name, incarnation, sequence, leaving: false }, 'itself');
+    }
+  };
+  return { clock, peers, plan, hear };
+}
+
+/** Waits until every host has either been heard just now or counts as silent. */
+async function settle({ clock, peers, plan, hear }: ReturnType<typeof makePlan>, dead: string[]) {
+  plan.recipients();
+  await clock.advance(SILENCE_MILLISECONDS + 1);
+  hear((name) => !dead.includes(name));
+  peers.sweep();
+}
+
+const names = (hosts: readonly EntryHostRecord[]): string[] => hosts.map(({ name }) => name).sort();
+
+describe('RelayPlan', () => {
+  it('has a member report to the two hosts of its domain that carry most', async () => {
+    const fleet = makePlan({ domains: 3, hostsPerDomain: 5 }, 'd0-h0');
+    await settle(fleet, []);
+    const { reports, members, foreignRelays } = fleet.plan.recipients();
+    expect(names(reports)).toEqual(['d0-h3', 'd0-h4']);
+    expect([...members, ...foreignRelays]).toEqual([]);
+  });
+
+  it('has a relay tell its members and the other domains’ relays', async () => {
+    const fleet = makePlan({ domains: 3, hostsPerDomain: 5 }, 'd0-h4');
+    await settle(fleet, []);
+    const { reports, members, foreignRelays } = fleet.plan.recipients();
+    expect(names(reports)).toEqual(['d0-h3']);
+    expect(names(members)).toEqual(['d0-h0', 'd0-h1', 'd0-h2']);
+    expect(names(foreignRelays)).toEqual(['d1-h3', 'd1-h4', 'd2-h3', 'd2-h4']);
+  });
+
+  it('replaces a relay that falls silent, at home and elsewhere', async () => {
+    const fleet = makePlan({ domains: 2, hostsPerDomain: 3 }, 'd0-h1');
+    await settle(fleet, ['d0-h2', 'd1-h2']);
+    const { reports, foreignRelays } = fleet.plan.recipients();
+    expect(names(reports)).toEqual(['d0-h0']);
+    expect(names(foreignRelays)).toEqual(['d1-h0', 'd1-h1']);
+  });
+
+  it('tries each host of a domain in turn of which none is heard', async () => {
+    const fleet = makePlan({ domains: 2, hostsPerDomain: 3 }, 'd0-h2');
+    await settle(fleet, ['d1-h0', 'd1-h1', 'd1-h2']);
+    const rounds = Array.from({ length: 3 }, () => fleet.plan.recipients().foreignRelays);
+    expect(names(rounds.flat())).toEqual(['d1-h0', 'd1-h1', 'd1-h2']);
+  });
+
+  it('tells its whole domain while it hears nobody there', () => {
+    const { plan } = makePlan({ domains: 2, hostsPerDomain: 4 }, 'd0-h0');
+    expect(names(plan.recipients().reports)).toEqual(['d0-h1', 'd0-h2', 'd0-h3']);
+  });
+
+  it('sends each host far fewer messages than there are hosts', async () => {
+    const size = { domains: 6, hostsPerDomain: 15 };
+    const counts = [];
+    for (const own of ['d0-h0', 'd0-h14']) {
+      const fleet = makePlan(size, own);
+      await settle(fleet, []);
+      const { reports, members, foreignRelays } = fleet.plan.recipients();
+      counts.push(reports.length + members.length + foreignRelays.length);
+    }
+    expect(counts).toEqual([2, 1 + 13 + 10]);
+  });
+});
--- /dev/null
+++ b/packages/entry/tests/watch-duty.test.ts
@@ -0,0 +1,44 @@
+import { FakeClock } from '@ferrylock/test-utils';
+import { describe, expect, it } from 'vitest';
+import { FleetView } from '../src/index.js';
+import { WatchDuty } from '../src/watch-duty.js';
+import { targetChange } from './fixtures.js';
+
+const HOSTS = Array.from({ length: 20 }, (_, index) => `host-${index}`);
+
+function makeDuties(relays: readonly string[]) {
+  const clock = new FakeClock();
+  const view = new FleetView();
+  const duties = HOSTS.map(
+    (ownName) =>
+      new WatchDuty({ clock, view, ownName, relayNames: () => relays, hostNames: () => HOSTS }),
+  );
+  const needed = (): string[] => HOSTS.filter((_, index) => duties[index]?.isNeeded);
+  return { clock, view, needed };
+}
+
+describe('WatchDuty', () => {
+  it('has every host ask that knows nothing', () => {
+    expect(makeDuties([]).needed()).toEqual(HOSTS);
+  });
+
+  it('has three relays watch, the same ones by everybody’s reckoning', () => {
+    const { clock, view, needed } = makeDuties(HOSTS.slice(4, 9));
+    view.replace(1, [targetChange(1)]);
+    view.confirm(1, clock.now());
+    expect(needed()).toHaveLength(3);
+    expect(HOSTS.slice(4, 9)).toEqual(expect.arrayContaining(needed()));
+  });
+
+  it('has the others ask, a few at a time, when nothing is confirmed any more', async () => {
+    const { clock, view, needed } = makeDuties([]);
+    view.replace(1, [targetChange(1)]);
+    view.confirm(1, clock.now());
+    await clock.advance(1_500);
+    expect(needed()).toHaveLength(0);
+    await clock.advance(61);
+    expect(needed()).toHaveLength(3);
+    await clock.advance(240);
+    expect(needed()).toEqual(HOSTS);
+  });
+});
