feat: the directory leaves callers to the large hosts while these have room

Change: hosts tell in their reports which part of their time has work; the directory tells a region's large hosts alone while all its work fits in 0.3 of their time, all hosts from 0.45 on.

--- a/packages/entry/src/directory.ts
+++ b/packages/entry/src/directory.ts
@@ -6,6 +6,17 @@
 const MOST_HOSTS = 64;
 /** How long callers use an answer: short, so that a host that died is left soon. */
 const LIFETIME_MILLISECONDS = 2_000;
+/**
+ * A host that carries less than this part of what the largest does is a small one. Callers spread
+ * evenly over the hosts that they are told: beside large ones, small ones would be full first.
+ */
+const SMALL_SHARE = 0.5;
+/** Fewest large hosts of a region that may serve it alone: the loss of one has to be borne. */
+const FEWEST_LARGE = 3;
+/** Part of the large hosts' time that all callers may take up when these are left to them. */
+const ENTER_SHARE = 0.3;
+/** Part at which the small hosts come in: a rush to twice as much is to find room. */
+const LEAVE_SHARE = 0.45;
 
 /** Which entry hosts a caller is to use, and for how long. */
 export interface DirectoryAnswer {
@@ -13,17 +24,29 @@
   readonly lifetimeMilliseconds: number;
 }
 
+/** An entry host that takes callers. */
+export interface DirectoryHost {
+  readonly host: EntryHostRecord;
+  /** Part of its time in which it has work, from 0 to 1. */
+  readonly busyShare: number;
+}
+
 export interface DirectoryOptions {
   readonly view: FleetView;
   readonly peers: PeerTable;
   /** This host, while it takes callers. */
-  readonly own: () => EntryHostRecord | undefined;
+  readonly own: () => DirectoryHost | undefined;
   readonly longestLifetimeMilliseconds: number;
 }
 
-/** Tells callers which entry hosts to use: those of their own region that are heard from. */
+/**
+ * Tells callers which entry hosts to use: those of their own region that are heard from, and of
+ * these the large ones alone while they have room for all.
+ */
 export class Directory {
   readonly #options: DirectoryOptions;
+  /** Regions whose large hosts alone are told. */
+  readonly #largeOnly = new Set<string>();
 
   constructor(options: DirectoryOptions) {
     this.#options = options;
@@ -31,10 +54,10 @@
 
   answer(region: string): DirectoryAnswer {
     const hosts = this.#hosts();
-    const near = hosts.filter((host) => host.region === region);
-    const chosen = (near.length > 0 ? near : hosts).slice(0, MOST_HOSTS);
+    const near = hosts.filter(({ host }) => host.region === region);
+    const chosen = this.#choose(region, near.length > 0 ? near : hosts).slice(0, MOST_HOSTS);
     return {
-      trafficAddresses: chosen.map(({ trafficAddress }) => trafficAddress),
+      trafficAddresses: chosen.map(({ host }) => host.trafficAddress),
       lifetimeMilliseconds: Math.min(
         LIFETIME_MILLISECONDS,
         this.#options.longestLifetimeMilliseconds,
@@ -42,13 +65,39 @@
     };
   }
 
-  #hosts(): EntryHostRecord[] {
+  #choose(region: string, hosts: readonly DirectoryHost[]): readonly DirectoryHost[] {
+    const largest = Math.max(0, ...hosts.map(({ host }) => host.capacity));
+    const large = hosts.filter(({ host }) => host.capacity >= SMALL_SHARE * largest);
+    if (large.length === hosts.length) {
+      return hosts;
+    }
+    const bound = this.#largeOnly.has(region) ? LEAVE_SHARE : ENTER_SHARE;
+    const fits = work(hosts) <= bound * capacity(large);
+    if (fits && large.length >= FEWEST_LARGE) {
+      this.#largeOnly.add(region);
+      return large;
+    }
+    this.#largeOnly.delete(region);
+    return hosts;
+  }
+
+  #hosts(): DirectoryHost[] {
     const { view, peers, own } = this.#options;
     const self = own();
-    const others = view
-      .records('entryHost')
-      .map(({ host }) => host)
-      .filter((host) => host.name !== self?.name && peers.takesCallers(host));
+    const others = view.records('entryHost').flatMap(({ host }) => {
+      const isOther = host.name !== self?.host.name && peers.takesCallers(host);
+      const busyShare = peers.get(host.name)?.busyShare ?? 0;
+      return isOther ? [{ host, busyShare }] : [];
+    });
     return self === undefined ? others : [self, ...others];
   }
 }
+
+/** Cores that the hosts' work takes up. */
+function work(hosts: readonly DirectoryHost[]): number {
+  return hosts.reduce((sum, { host, busyShare }) => sum + busyShare * host.capacity, 0);
+}
+
+function capacity(hosts: readonly DirectoryHost[]): number {
+  return hosts.reduce((sum, { host }) => sum + host.capacity, 0);
+}
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -1,6 +1,7 @@
 import { randomUUID } from 'node:crypto';
 import { BackgroundTasks } from '@ferrylock/utils';
 import type { Clock, Random } from '@ferrylock/utils';
+import { BusyMeter } from './busy-meter.js';
 import { Directory } from './directory.js';
 import type { DirectoryAnswer } from './directory.js';
 import type { EventLog } from './events.js';
@@ -59,6 +60,7 @@
   readonly state: RoutingState;
   readonly #options: EntryHostOptions;
   readonly #tasks: BackgroundTasks;
+  readonly #busy = new BusyMeter();
   readonly #health: StoreHealth;
   readonly #peers: PeerTable;
   readonly #loads: PeerLoads;
@@ -99,6 +101,7 @@
       storeAnsweredAt: () => this.#health.answeredAt,
       loads: this.#loads,
       isLeaving: () => this.#isLeaving,
+      busyShare: () => this.#busy.share,
     });
     const duty = new WatchDuty({
       clock,
@@ -116,7 +119,10 @@
     this.#directory = new Directory({
       view,
       peers: this.#peers,
-      own: () => (this.#isLeaving ? undefined : this.#own),
+      own: () =>
+        this.#isLeaving || this.#own === undefined
+          ? undefined
+          : { host: this.#own, busyShare: this.#busy.share },
       longestLifetimeMilliseconds: settings.longestDirectoryLifetimeMilliseconds,
     });
     const forwarder = new RequestForwarder({
@@ -281,6 +287,7 @@
         events.write({ event: 'paused', milliseconds: Math.round(paused) });
       }
       before = now;
+      this.#busy.sample();
       this.#peers.sweep();
       this.#loads.sweep();
       this.#health.recordConfirmation(this.view.confirmedAt);
--- a/packages/entry/src/peers/message-writer.ts
+++ b/packages/entry/src/peers/message-writer.ts
@@ -20,6 +20,8 @@
   readonly answers: StoreAnswers;
   readonly own: EntryHostRecord;
   readonly isLeaving: () => boolean;
+  /** Part of this host's time in which it has work, from 0 to 1. */
+  readonly busyShare: () => number;
   /** When the store last answered this host itself, in monotonic milliseconds. */
   readonly storeAnsweredAt: () => number;
 }
@@ -88,9 +90,15 @@
   }
 
   #ownStatus(): HostStatus {
-    const { own, isLeaving } = this.#options;
+    const { own, isLeaving, busyShare } = this.#options;
     const { name, incarnation } = own;
-    return { name, incarnation, sequence: this.#sequence, leaving: isLeaving() };
+    return {
+      name,
+      incarnation,
+      sequence: this.#sequence,
+      leaving: isLeaving(),
+      busyShare: busyShare(),
+    };
   }
 
   /** Other failure domains hear of a host from the relays of its own. */
--- a/packages/entry/src/peers/peer-exchange.ts
+++ b/packages/entry/src/peers/peer-exchange.ts
@@ -35,6 +35,8 @@
   /** When the store last answered this host itself, in monotonic milliseconds. */
   readonly storeAnsweredAt: () => number;
   readonly isLeaving: () => boolean;
+  /** Part of this host's time in which it has work, from 0 to 1. */
+  readonly busyShare: () => number;
 }
 
 /** What is needed once the own addresses are known. */
--- a/packages/entry/tests/peers/peer-exchange.test.ts
+++ b/packages/entry/tests/peers/peer-exchange.test.ts
@@ -35,6 +35,7 @@
     client: new PeerClient(),
     storeAnsweredAt: () => store.answeredAt,
     isLeaving: () => false,
+    busyShare: () => 0,
   });
   view.replace(5, [targetChange(5)]);
   await clock.advance(1_000);
@@ -46,7 +47,7 @@
   const source = { name: 'watcher', incarnation: 'first', sequence };
   return JSON.stringify(
     createJSONRPCNotification(REPORT_METHOD, {
-      status: [source.name, source.incarnation, sequence, false],
+      status: [source.name, source.incarnation, sequence, false, 10],
       lastChange,
       storeAnswer: { ...source, lastChange, ageMilliseconds },
       inFlight: {},
@@ -61,8 +62,8 @@
       failureDomain: 'odense-hal',
       scope: 'domain',
       statuses: [
-        ['relay', 'first', 3, false],
-        ['member', 'first', 8, true],
+        ['relay', 'first', 3, false, 10],
+        ['member', 'first', 8, true, 20],
       ],
       lastChange: 5,
       inFlight: {},
--- a/packages/entry/tests/peers/peer-table.test.ts
+++ b/packages/entry/tests/peers/peer-table.test.ts
@@ -5,7 +5,14 @@
 import { keepEvents, makeHostRecord } from '../fixtures.js';
 
 function makeStatus(changes: Partial<HostStatus> = {}): HostStatus {
-  return { name: 'host-1', incarnation: 'first', sequence: 1, leaving: false, ...changes };
+  return {
+    name: 'host-1',
+    incarnation: 'first',
+    sequence: 1,
+    leaving: false,
+    busyShare: 0,
+    ...changes,
+  };
 }
 
 function makeTable(registered = 'first') {
--- a/packages/entry/tests/peers/relay-plan.test.ts
+++ b/packages/entry/tests/peers/relay-plan.test.ts
@@ -41,7 +41,7 @@
   const hear = (isHeard: (name: string) => boolean): void => {
     for (const { name, incarnation } of records.filter((host) => isHeard(host.name))) {
       const sequence = (peers.get(name)?.sequence ?? 0) + 1;
-      peers.take({ name, incarnation, sequence, leaving: false }, 'itself');
+      peers.take({ name, incarnation, sequence, leaving: false, busyShare: 0 }, 'itself');
     }
   };
   return { clock, peers, plan, hear };
