feat: log lines say why a target is left alone or its connections are distrusted

The events stood in the schema and nothing wrote them. They come as often as requests fail, so they fall under the bound on lines about requests.

--- a/packages/entry/src/events.ts
+++ b/packages/entry/src/events.ts
@@ -122,6 +122,15 @@
   'refused',
   'answered',
 ]);
+/** States of targets that requests bring about; the others come from records, which are few. */
+const REQUEST_STATES: ReadonlySet<string> = new Set(['failing', 'distrusted']);
+
+/** Whether lines like it come as often as requests do. */
+function isOfRequest(event: EntryEvent): boolean {
+  return (
+    REQUEST_EVENTS.has(event.event) || (event.event === 'target' && REQUEST_STATES.has(event.state))
+  );
+}
 
 /** Writes events as JSON lines, those about requests at a bounded rate. */
 export class EventLog {
@@ -131,14 +140,15 @@
 
   constructor(readonly logger: Logger) {}
 
-  write({ event, ...fields }: EntryEvent): void {
-    if (REQUEST_EVENTS.has(event)) {
+  write(written: EntryEvent): void {
+    if (isOfRequest(written)) {
       if (this.#linesLeft <= 0) {
         this.dropped++;
         return;
       }
       this.#linesLeft--;
     }
+    const { event, ...fields } = written;
     this.logger.info(event, fields);
   }
 
--- a/packages/entry/src/request/target-send.ts
+++ b/packages/entry/src/request/target-send.ts
@@ -1,5 +1,6 @@
 import type { TargetState } from '@ferrylock/routing';
 import type { Clock } from '@ferrylock/utils';
+import type { EventLog } from '../events.js';
 import type { ServiceTargets } from '../routing/service-targets.js';
 import type { RoutedExchange } from './caller-exchange.js';
 import { keyOf } from './caller-exchange.js';
@@ -35,6 +36,7 @@
 
 export interface TargetSendOptions {
   readonly clock: Clock;
+  readonly events: EventLog;
   readonly client: TargetClient;
   readonly dialect: HeaderDialect;
   readonly service: ServiceTargets;
@@ -131,22 +133,41 @@
   }
 
   #judgeFailure(isUnsent: boolean, error: Error, now: number): SendVerdict {
-    const { target, service } = this.#options;
+    const { target } = this.#options;
     if (this.#endedBy !== undefined) {
       if (this.#endedBy === 'deadline' && target.answeredAt < this.sentAt) {
-        target.recordFailure(now);
+        this.#eject('no answer in time, and none since it was sent', now);
       }
       return { kind: 'ended', cause: this.#endedBy, wasSent: !isUnsent };
     }
     if (isUnsent) {
-      target.recordFailure(now);
+      this.#eject(error.message, now);
       return { kind: 'not-run', reason: 'connect-failed', detail: error.message };
     }
     if (error instanceof StrayAnswer) {
-      service.distrust();
+      this.#distrust(error.message);
     } else {
-      target.recordFailure(now);
+      this.#eject(error.message, now);
     }
     return { kind: 'unknown', reason: 'target-failed', detail: error.message };
   }
+
+  /** Keeps the target out of choice for a while. */
+  #eject(reason: string, now: number): void {
+    const { target } = this.#options;
+    const milliseconds = target.recordFailure(now);
+    this.#log('failing', `left alone for ${milliseconds} ms: ${reason}`);
+  }
+
+  /** Gives requests to the service's targets a connection each for a while. */
+  #distrust(reason: string): void {
+    if (this.#options.service.distrust()) {
+      this.#log('distrusted', `a connection for each request of the service: ${reason}`);
+    }
+  }
+
+  #log(state: 'failing' | 'distrusted', detail: string): void {
+    const { events, service, target } = this.#options;
+    events.write({ event: 'target', target: target.id, service: service.name, state, detail });
+  }
 }
--- a/packages/entry/src/routing/service-targets.ts
+++ b/packages/entry/src/routing/service-targets.ts
@@ -58,9 +58,15 @@
     return this.#clock.now() < this.#distrustedUntil;
   }
 
-  /** One of its targets answered a request that it was not asked. */
-  distrust(): void {
+  /**
+   * One of its targets answered a request that it was not asked.
+   *
+   * @returns whether its connections were trusted until now
+   */
+  distrust(): boolean {
+    const wasTrusted = !this.isDistrusted;
     this.#distrustedUntil = this.#clock.now() + DISTRUST_MILLISECONDS;
+    return wasTrusted;
   }
 
   /** Average time of work on a request, without waiting for a slot; undefined before the first. */
--- a/packages/routing/src/target-state.ts
+++ b/packages/routing/src/target-state.ts
@@ -95,11 +95,17 @@
     this.#failures = 0;
   }
 
-  /** A try brought no usable answer. */
-  recordFailure(now: number): void {
-    const milliseconds = FIRST_EJECTION_MILLISECONDS * 2 ** this.#failures;
+  /**
+   * A try brought no usable answer.
+   *
+   * @returns for how long the target is now kept out of choice, in milliseconds
+   */
+  recordFailure(now: number): number {
+    const doubled = FIRST_EJECTION_MILLISECONDS * 2 ** this.#failures;
+    const milliseconds = Math.min(LONGEST_EJECTION_MILLISECONDS, doubled);
     this.#failures++;
-    this.#ejectedUntil = now + Math.min(LONGEST_EJECTION_MILLISECONDS, milliseconds);
+    this.#ejectedUntil = now + milliseconds;
+    return milliseconds;
   }
 
   /** It refused for lack of room; others are better for a moment. */
