--- a/packages/entry/src/peers/relay-plan.ts
+++ b/packages/entry/src/peers/relay-plan.ts
@@ -34,22 +34,27 @@
   readonly #options: RelayPlanOptions;
   /** When each start of a host was first seen in the store. */
   readonly #seenAt = new Map<string, number>();
+  /** Registered hosts by failure domain, those first that are to be relays; made when needed. */
+  #ranked: ReadonlyMap<string, readonly EntryHostRecord[]> | undefined;
   #turn = 0;
 
   constructor(options: RelayPlanOptions) {
     this.#options = options;
+    options.view.onChanges((changes) => {
+      if (changes.some(({ record }) => record === undefined || record.kind === 'entryHost')) {
+        this.#ranked = undefined;
+      }
+    });
   }
 
   /** Names of the relays of all failure domains; few even in a large fleet. */
   get relayNames(): string[] {
-    return [...this.#domains().values()].flatMap((hosts) => this.#relays(hosts)).map(nameOf);
+    return [...this.#domains.values()].flatMap((hosts) => this.#relays(hosts)).map(nameOf);
   }
 
   recipients(): Recipients {
     const { own, peers } = this.#options;
-    const domains = this.#domains();
-    const domain = domains.get(own.failureDomain) ?? [];
-    domains.delete(own.failureDomain);
+    const domain = this.#domains.get(own.failureDomain) ?? [];
     const others = domain.filter(({ name }) => name !== own.name);
     const relays = this.#relays(domain).map(nameOf);
     const isRelay = (host: EntryHostRecord): boolean => relays.includes(host.name);
@@ -62,7 +67,9 @@
     return {
       reports,
       members: others.filter((host) => isHeard(host) && !isRelay(host)),
-      foreignRelays: [...domains.values()].flatMap((hosts) => this.#reachable(hosts)),
+      foreignRelays: [...this.#domains]
+        .filter(([name]) => name !== own.failureDomain)
+        .flatMap(([, hosts]) => this.#reachable(hosts)),
     };
   }
 
@@ -77,8 +84,12 @@
     return hosts.filter((host) => this.#mayRun(host)).slice(0, RELAYS_PER_DOMAIN);
   }
 
-  /** Registered hosts by failure domain, those first that are to be relays. */
-  #domains(): Map<string, EntryHostRecord[]> {
+  get #domains(): ReadonlyMap<string, readonly EntryHostRecord[]> {
+    this.#ranked ??= this.#rank();
+    return this.#ranked;
+  }
+
+  #rank(): Map<string, readonly EntryHostRecord[]> {
     const { view, own } = this.#options;
     const registered = view.records('entryHost').map(({ host }) => host);
     const others = registered.filter(({ name }) => name !== own.name);
@@ -88,10 +99,7 @@
       hosts.push(host);
       domains.set(host.failureDomain, hosts);
     }
-    for (const [domain, hosts] of domains) {
-      domains.set(domain, ranked(domain, hosts));
-    }
-    return domains;
+    return new Map([...domains].map(([domain, hosts]) => [domain, ranked(domain, hosts)]));
   }
 
   /** Heard of, or registered so lately that it may not have been heard yet. */
