fix: lines that nobody reads do not fill the memory

Cause: writing to a pipe does not wait on Linux, what is not read stays in memory (tried: 1 MB written to a pipe that nobody read, the process went on and held 937 kB). Change: over 256 kB of such bytes, lines are left out and counted. Test: events.

--- a/packages/entry/src/events.ts
+++ b/packages/entry/src/events.ts
@@ -132,15 +132,29 @@
   );
 }
 
+/**
+ * Bytes that may wait for a reader that does not read, some 1,000 lines; writing never waits, so
+ * they would fill the memory.
+ */
+const MOST_BACKLOG_BYTES = 256 * 1024;
+
 /** Writes events as JSON lines, those about requests at a bounded rate. */
 export class EventLog {
   /** Lines left out so far. */
   dropped = 0;
   #linesLeft = MOST_REQUEST_LINES_PER_SECOND;
 
-  constructor(readonly logger: Logger) {}
+  /** @param backlogBytes - what was written and is not read yet */
+  constructor(
+    readonly logger: Logger,
+    readonly backlogBytes: () => number = () => 0,
+  ) {}
 
   write(written: EntryEvent): void {
+    if (this.backlogBytes() > MOST_BACKLOG_BYTES) {
+      this.dropped++;
+      return;
+    }
     if (isOfRequest(written)) {
       if (this.#linesLeft <= 0) {
         this.dropped++;
