fix: cold targets get their requests from hosts that have some

Cause: the four hosts that may send to a cold target were drawn from all registered ones; where callers use the large hosts alone, 77 of 89 have no requests to send (by reading). Change: they are drawn from the large hosts. Test: large hosts.

--- a/packages/entry/src/directory.ts
+++ b/packages/entry/src/directory.ts
@@ -1,4 +1,5 @@
 import type { EntryHostRecord } from './fleet/fleet-record.js';
+import { largeHosts } from './fleet/large-hosts.js';
 import type { FleetView } from './fleet/fleet-view.js';
 import type { PeerTable } from './peers/peer-table.js';
 
@@ -6,11 +7,6 @@
 const MOST_HOSTS = 64;
 /** How long callers use an answer: short, so that a host that died is left soon. */
 const LIFETIME_MILLISECONDS = 2_000;
-/**
- * A host that carries less than this part of what the largest does is a small one. Callers spread
- * evenly over the hosts that they are told: beside large ones, small ones would be full first.
- */
-const SMALL_SHARE = 0.5;
 /** Fewest large hosts of a region that may serve it alone: the loss of one has to be borne. */
 const FEWEST_LARGE = 3;
 /** Part of the large hosts' time that all callers may take up when these are left to them. */
@@ -66,8 +62,7 @@
   }
 
   #choose(region: string, hosts: readonly DirectoryHost[]): readonly DirectoryHost[] {
-    const largest = Math.max(0, ...hosts.map(({ host }) => host.capacity));
-    const large = hosts.filter(({ host }) => host.capacity >= SMALL_SHARE * largest);
+    const large = largeHosts(hosts, ({ host }) => host);
     if (large.length === hosts.length) {
       return hosts;
     }
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -8,6 +8,7 @@
 import type { EntryHostRecord } from './fleet/fleet-record.js';
 import type { FleetStore } from './fleet/fleet-store.js';
 import { FleetView } from './fleet/fleet-view.js';
+import { largeHosts } from './fleet/large-hosts.js';
 import { HostRegistration } from './fleet/host-registration.js';
 import { StoreHealth } from './fleet/store-health.js';
 import { StoreWatch } from './fleet/store-watch.js';
@@ -74,6 +75,7 @@
   #registration: HostRegistration | undefined;
   #own: EntryHostRecord | undefined;
   #hosts: readonly string[] = [];
+  #largeHosts: readonly string[] = [];
   #isLeaving = false;
 
   constructor(options: EntryHostOptions) {
@@ -81,6 +83,7 @@
     const { settings, clock, events } = options;
     const { view } = this;
     this.#hosts = [settings.name];
+    this.#largeHosts = this.#hosts;
     this.#tasks = new BackgroundTasks(events.logger);
     this.#health = new StoreHealth(clock, events);
     this.#peers = new PeerTable(clock, events, (name) => this.#registeredIncarnation(name));
@@ -134,6 +137,7 @@
       metrics: this.metrics,
       ownName: settings.name,
       hosts: () => this.#hosts,
+      largeHosts: () => this.#largeHosts,
     });
     this.#front = new FrontServer({
       handle: (request, response, path) => forwarder.handle(request, response, path),
@@ -147,7 +151,7 @@
     });
     view.onChanges((changes) => {
       if (changes.some(({ record }) => record === undefined || record.kind === 'entryHost')) {
-        this.#hosts = this.#registeredNames();
+        this.#takeHosts();
       }
     });
     this.state.onLimits((limits) => {
@@ -246,12 +250,15 @@
   }
 
   /**
-   * Names of all registered entry hosts, whether heard from or not: what is divided among them must
-   * not grow where one is cut off and hears nobody.
+   * Takes over the names of all registered entry hosts, whether heard from or not: what is divided
+   * among them must not grow where one is cut off and hears nobody.
    */
-  #registeredNames(): string[] {
-    const registered = this.view.records('entryHost').map(({ host }) => host.name);
-    return [...new Set([this.#options.settings.name, ...registered])];
+  #takeHosts(): void {
+    const records = this.view.records('entryHost').map(({ host }) => host);
+    const names = records.map(({ name }) => name);
+    this.#hosts = [...new Set([this.#options.settings.name, ...names])];
+    const large = largeHosts(records, (record) => record).map(({ name }) => name);
+    this.#largeHosts = large.length > 0 ? large : this.#hosts;
   }
 
   #registeredIncarnation(name: string): string | undefined {
--- a/packages/entry/src/request/request-forwarder.ts
+++ b/packages/entry/src/request/request-forwarder.ts
@@ -44,6 +44,8 @@
   readonly ownName: string;
   /** Names of all entry hosts, this one included; the same array while nothing changes. */
   readonly hosts: () => readonly string[];
+  /** Names of the large ones among them, which have requests to send; likewise the same array. */
+  readonly largeHosts: () => readonly string[];
 }
 
 /** A request on its way through targets. */
@@ -175,7 +177,7 @@
   }
 
   #chooseTarget({ exchange, service, progress }: Journey): TargetState | undefined {
-    const { clock, random, hosts, ownName, state } = this.#options;
+    const { clock, random, largeHosts, ownName, state } = this.#options;
     const { route } = exchange;
     return service.choice.choose(
       {
@@ -196,7 +198,7 @@
           target: target.id,
           requestsPerSecond: service.settings?.coldRequestsPerSecond ?? Infinity,
           ownName,
-          hosts: hosts(),
+          hosts: largeHosts(),
         }),
     );
   }
