fix: a host that leaves is told of at once; nothing is counted twice when a relay becomes a member

Change: relays pass a leave on at once, to all; the whole replaces the parts. Test: peer loads. The calls by which hosts ask one another for changes have a class of their own, ViewExchange.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -17,6 +17,7 @@
 import { PeerExchange } from './peers/peer-exchange.js';
 import { PeerLoads } from './peers/peer-loads.js';
 import { PeerTable } from './peers/peer-table.js';
+import { ViewExchange } from './peers/view-exchange.js';
 import { AnswerWriter } from './request/answer-writer.js';
 import { BodyReader } from './request/body-reader.js';
 import type { HeaderDialect } from './request/dialect.js';
@@ -67,6 +68,7 @@
   readonly #loads: PeerLoads;
   readonly #peerClient = new PeerClient();
   readonly #client = new TargetClient();
+  readonly #changes: ViewExchange;
   readonly #exchange: PeerExchange;
   readonly #watch: StoreWatch;
   readonly #directory: Directory;
@@ -96,12 +98,19 @@
       storeReturnedAt: () => this.#health.returnedAt,
     });
     this.#loads = new PeerLoads(clock, this.state);
+    const storeAnsweredAt = (): number => this.#health.answeredAt;
+    this.#changes = new ViewExchange({
+      ...options,
+      view,
+      client: this.#peerClient,
+      storeAnsweredAt,
+    });
     this.#exchange = new PeerExchange({
       ...options,
       view,
       peers: this.#peers,
-      client: this.#peerClient,
-      storeAnsweredAt: () => this.#health.answeredAt,
+      changes: this.#changes,
+      storeAnsweredAt,
       loads: this.#loads,
       isLeaving: () => this.#isLeaving,
       busyShare: () => this.#busy.share,
@@ -146,7 +155,7 @@
       },
     });
     this.#control = new ControlServer({
-      exchange: this.#exchange,
+      changes: this.#changes,
       metricsText: () => this.metricsText(),
     });
     view.onChanges((changes) => {
@@ -273,7 +282,7 @@
       await clock.sleep(SEED_PAUSE_MILLISECONDS, signal);
       for (const seed of seeds) {
         if (this.#mustAsk(seeds, signal)) {
-          await this.#exchange.fetchFrom(seed);
+          await this.#changes.fetchFrom(seed);
         }
       }
     }
--- a/packages/entry/src/peers/peer-exchange.ts
+++ b/packages/entry/src/peers/peer-exchange.ts
@@ -4,16 +4,17 @@
 import type { EventLog } from '../events.js';
 import type { EntryHostRecord } from '../fleet/fleet-record.js';
 import type { FleetView } from '../fleet/fleet-view.js';
+import type { HostStatus } from './host-status.js';
 import { loadSource, MessageWriter } from './message-writer.js';
-import type { PeerClient } from './peer-client.js';
 import type { PeerLoads } from './peer-loads.js';
-import type { DeltaParams, DeltaResult, Digest, HostReport } from './peer-messages.js';
+import type { Digest, HostReport } from './peer-messages.js';
 import { DIGEST_METHOD, digestSchema, hostReportSchema, REPORT_METHOD } from './peer-messages.js';
-import type { PeerTable } from './peer-table.js';
+import type { HeardFrom, PeerTable } from './peer-table.js';
 import { RelayPlan } from './relay-plan.js';
 import { ReportSocket } from './report-socket.js';
 import type { StoreAnswer } from './store-answers.js';
 import { StoreAnswers } from './store-answers.js';
+import type { ViewExchange } from './view-exchange.js';
 
 /** Time between two rounds of messages. */
 const ROUND_MILLISECONDS = 200;
@@ -37,7 +38,7 @@
   readonly view: FleetView;
   readonly peers: PeerTable;
   readonly loads: PeerLoads;
-  readonly client: PeerClient;
+  readonly changes: ViewExchange;
   /** When the store last answered this host itself, in monotonic milliseconds. */
   readonly storeAnsweredAt: () => number;
   readonly isLeaving: () => boolean;
@@ -71,7 +72,6 @@
   #round = 0;
   #toldAt = -Infinity;
   #isRoundDue = false;
-  #isFetching = false;
 
   constructor(options: PeerExchangeOptions) {
     this.#options = options;
@@ -128,41 +128,6 @@
     });
   }
 
-  /** Answers a peer that asks for what it does not know yet. */
-  deltaFor({ afterRevision }: DeltaParams): DeltaResult {
-    const { view } = this.#options;
-    const age = this.#answeredAge();
-    const delta = afterRevision === 0 ? undefined : view.deltaAfter(afterRevision);
-    const known = delta ?? { afterRevision: 0, revision: view.revision, changes: view.entries };
-    return {
-      isWhole: delta === undefined,
-      ...known,
-      changes: [...known.changes],
-      ...(age === undefined ? {} : { answeredAgeMilliseconds: age }),
-    };
-  }
-
-  /** Asks a peer, by its address, for what it knows beyond this host; tells whether it helped. */
-  async fetchFrom(address: string): Promise<boolean> {
-    const { view, client, clock } = this.#options;
-    const askedAt = clock.now();
-    const answer = await client.delta(address, view.lastChange);
-    if (answer.isErr() || answer.value.revision === 0) {
-      return false;
-    }
-    const { isWhole, revision, changes, answeredAgeMilliseconds } = answer.value;
-    if (isWhole) {
-      view.replace(revision, changes);
-    } else {
-      view.apply(answer.value);
-    }
-    if (answeredAgeMilliseconds !== undefined) {
-      view.confirm(view.lastChange, askedAt - answeredAgeMilliseconds);
-    }
-    this.#logView(address, answer.value);
-    return true;
-  }
-
   /** Takes a message of another host, as it came. */
   takeDatagram(text: string): void {
     const { events } = this.#options;
@@ -181,9 +146,9 @@
   }
 
   #takeReport({ statuses, inFlight, lastChange, storeAnswer }: HostReport): void {
-    const { peers, loads } = this.#options;
+    const { loads } = this.#options;
     const [status] = statuses;
-    if (status === undefined || !peers.take(status, 'itself')) {
+    if (status === undefined || !this.#takeStatus(status, 'itself')) {
       return;
     }
     loads.take(loadSource.host(status.name), inFlight);
@@ -192,11 +157,11 @@
 
   #takeDigest(digest: Digest): void {
     const { from, failureDomain, scope, statuses, news, lastChange, storeAnswer } = digest;
-    const { peers, view, loads } = this.#options;
+    const { view, loads } = this.#options;
     const own = this.#running?.own;
     for (const status of statuses) {
       if (status.name !== own?.name) {
-        peers.take(status, status.name === from ? 'itself' : 'another');
+        this.#takeStatus(status, status.name === from ? 'itself' : 'another');
       }
     }
     if (scope === 'domain') {
@@ -206,34 +171,34 @@
       loads.takeFleet(loadSource.fleet, digest.inFlight, counted);
     }
     if (news !== undefined && news.revision > view.revision && view.apply(news)) {
-      this.#logView(from, news);
+      this.#options.changes.logView(from, news);
     }
     this.#takeKnowledge(from, lastChange, storeAnswer);
   }
 
+  /** Takes a host's status; passes on at once that it leaves. Tells whether it was news. */
+  #takeStatus(status: HostStatus, from: HeardFrom): boolean {
+    const { peers } = this.#options;
+    const wasLeaving = peers.get(status.name)?.leaving === true;
+    const isNews = peers.take(status, from);
+    if (isNews && status.leaving && !wasLeaving && this.#isRelay) {
+      this.report();
+    }
+    return isNews;
+  }
+
   /** Fetches what a peer knows beyond this host; takes what it tells of the store's answers. */
   #takeKnowledge(name: string, lastChange: number, answer: StoreAnswer | undefined): void {
     const { view } = this.#options;
     this.#lastChanges.set(name, lastChange);
     const answeredAt = answer === undefined ? undefined : this.#answers.take(answer);
     if (lastChange > view.lastChange) {
-      this.#fetchFromPeer(name);
+      this.#options.changes.fetchFromHost(name);
     } else if (answer !== undefined && answeredAt !== undefined) {
       view.confirm(answer.lastChange, answeredAt);
     }
   }
 
-  #fetchFromPeer(name: string): void {
-    const record = this.#hosts().find((host) => host.name === name);
-    if (this.#isFetching || record === undefined) {
-      return;
-    }
-    this.#isFetching = true;
-    void this.fetchFrom(record.controlAddress).finally(() => {
-      this.#isFetching = false;
-    });
-  }
-
   /** @param isUrgent - whether members are told although it is not their round */
   #tell(isUrgent: boolean): void {
     if (this.#running === undefined) {
@@ -247,7 +212,7 @@
     this.#send(reports, () => writer.report());
     this.#send(foreignRelays, () => writer.domainDigest(this.#knownToAll(foreignRelays)));
     if (isUrgent || this.#round % ROUNDS_PER_DIGEST === 0) {
-      const tellsAll = this.#round % ROUNDS_PER_WHOLE_DIGEST === 0;
+      const tellsAll = isUrgent || this.#round % ROUNDS_PER_WHOLE_DIGEST === 0;
       this.#send(members, () => writer.fleetDigest(this.#knownToAll(members), tellsAll));
     }
     this.#isRelay = foreignRelays.length > 0 || members.length > 0;
@@ -270,21 +235,4 @@
   #knownToAll(hosts: readonly EntryHostRecord[]): number {
     return Math.min(...hosts.map(({ name }) => this.#lastChanges.get(name) ?? Infinity));
   }
-
-  #hosts(): EntryHostRecord[] {
-    return this.#options.view.records('entryHost').map(({ host }) => host);
-  }
-
-  #answeredAge(): number | undefined {
-    const { clock, storeAnsweredAt } = this.#options;
-    const age = clock.now() - storeAnsweredAt();
-    return Number.isFinite(age) ? Math.round(age) : undefined;
-  }
-
-  #logView(source: string, { revision, changes }: Pick<DeltaResult, 'revision' | 'changes'>): void {
-    if (changes.length > 0) {
-      const keys = changes.map(({ key }) => key);
-      this.#options.events.write({ event: 'view', source, revision, changes: keys });
-    }
-  }
 }
--- a/packages/entry/src/peers/peer-loads.ts
+++ b/packages/entry/src/peers/peer-loads.ts
@@ -75,7 +75,8 @@
   }
 
   /**
-   * Takes what is told of the whole fleet, less this host's own part in it.
+   * Takes what is told of the whole fleet, less this host's own part in it. What parts of the fleet
+   * told before, while this host was a relay, is in it.
    *
    * @param sequence - the report of this host that is counted in
    */
@@ -84,6 +85,9 @@
     for (const [id, count] of Object.entries(this.#reported.get(sequence) ?? {})) {
       others[id] = Math.max(0, (others[id] ?? 0) - count);
     }
+    for (const part of [...this.#sources.keys()]) {
+      this.drop(part);
+    }
     this.take(source, others);
   }
 
--- /dev/null
+++ b/packages/entry/src/peers/view-exchange.ts
@@ -0,0 +1,86 @@
+import type { Clock } from '@ferrylock/utils';
+import type { EventLog } from '../events.js';
+import type { FleetView } from '../fleet/fleet-view.js';
+import type { PeerClient } from './peer-client.js';
+import type { DeltaParams, DeltaResult } from './peer-messages.js';
+
+export interface ViewExchangeOptions {
+  readonly clock: Clock;
+  readonly events: EventLog;
+  readonly view: FleetView;
+  readonly client: PeerClient;
+  /** When the store last answered this host itself, in monotonic milliseconds. */
+  readonly storeAnsweredAt: () => number;
+}
+
+/** Hands what is known of the store to hosts that ask for it by a call, and asks them. */
+export class ViewExchange {
+  readonly #options: ViewExchangeOptions;
+  #isFetching = false;
+
+  constructor(options: ViewExchangeOptions) {
+    this.#options = options;
+  }
+
+  /** Answers a peer that asks for what it does not know yet. */
+  deltaFor({ afterRevision }: DeltaParams): DeltaResult {
+    const { view } = this.#options;
+    const age = this.#answeredAge();
+    const delta = afterRevision === 0 ? undefined : view.deltaAfter(afterRevision);
+    const known = delta ?? { afterRevision: 0, revision: view.revision, changes: view.entries };
+    return {
+      isWhole: delta === undefined,
+      ...known,
+      changes: [...known.changes],
+      ...(age === undefined ? {} : { answeredAgeMilliseconds: age }),
+    };
+  }
+
+  /** Asks a peer, by its address, for what it knows beyond this host; tells whether it helped. */
+  async fetchFrom(address: string): Promise<boolean> {
+    const { view, client, clock } = this.#options;
+    const askedAt = clock.now();
+    const answer = await client.delta(address, view.lastChange);
+    if (answer.isErr() || answer.value.revision === 0) {
+      return false;
+    }
+    const { isWhole, revision, changes, answeredAgeMilliseconds } = answer.value;
+    if (isWhole) {
+      view.replace(revision, changes);
+    } else {
+      view.apply(answer.value);
+    }
+    if (answeredAgeMilliseconds !== undefined) {
+      view.confirm(view.lastChange, askedAt - answeredAgeMilliseconds);
+    }
+    this.logView(address, answer.value);
+    return true;
+  }
+
+  /** Asks a host, by its name, unless a call is under way. */
+  fetchFromHost(name: string): void {
+    const hosts = this.#options.view.records('entryHost').map(({ host }) => host);
+    const record = hosts.find((host) => host.name === name);
+    if (this.#isFetching || record === undefined) {
+      return;
+    }
+    this.#isFetching = true;
+    void this.fetchFrom(record.controlAddress).finally(() => {
+      this.#isFetching = false;
+    });
+  }
+
+  /** Writes which keys others' news was about. */
+  logView(source: string, { revision, changes }: Pick<DeltaResult, 'revision' | 'changes'>): void {
+    if (changes.length > 0) {
+      const keys = changes.map(({ key }) => key);
+      this.#options.events.write({ event: 'view', source, revision, changes: keys });
+    }
+  }
+
+  #answeredAge(): number | undefined {
+    const { clock, storeAnsweredAt } = this.#options;
+    const age = clock.now() - storeAnsweredAt();
+    return Number.isFinite(age) ? Math.round(age) : undefined;
+  }
+}
--- a/packages/entry/src/servers/control-server.ts
+++ b/packages/entry/src/servers/control-server.ts
@@ -3,14 +3,14 @@
 import { JSONRPCErrorException, JSONRPCServer } from 'json-rpc-2.0';
 import { splitAddress } from '../address.js';
 import { PEER_PATH } from '../peers/peer-client.js';
-import type { PeerExchange } from '../peers/peer-exchange.js';
 import { DELTA_METHOD, deltaParamsSchema } from '../peers/peer-messages.js';
+import type { ViewExchange } from '../peers/view-exchange.js';
 
 /** JSON-RPC 2.0: invalid method parameters. */
 const INVALID_PARAMS = -32_602;
 
 export interface ControlServerOptions {
-  readonly exchange: PeerExchange;
+  readonly changes: ViewExchange;
   /** Figures of this host as Prometheus text. */
   readonly metricsText: () => string;
 }
@@ -20,14 +20,14 @@
   readonly #app: FastifyInstance;
   readonly #peerServer = new JSONRPCServer({ errorListener: () => undefined });
 
-  constructor({ exchange, metricsText }: ControlServerOptions) {
+  constructor({ changes, metricsText }: ControlServerOptions) {
     this.#app = Fastify({ logger: false });
     this.#peerServer.addMethod(DELTA_METHOD, (params: unknown) => {
       const parsed = deltaParamsSchema.safeParse(params);
       if (!parsed.success) {
         throw new JSONRPCErrorException(parsed.error.message, INVALID_PARAMS);
       }
-      return exchange.deltaFor(parsed.data);
+      return changes.deltaFor(parsed.data);
     });
     // Bodies stay text here: the JSON-RPC server tells callers what is wrong with them.
     this.#app.removeAllContentTypeParsers();
--- a/packages/entry/tests/peers/peer-exchange.test.ts
+++ b/packages/entry/tests/peers/peer-exchange.test.ts
@@ -8,6 +8,7 @@
 import { DIGEST_METHOD, REPORT_METHOD } from '../../src/peers/peer-messages.js';
 import { PeerTable } from '../../src/peers/peer-table.js';
 import { RoutingState } from '../../src/routing/routing-state.js';
+import { ViewExchange } from '../../src/peers/view-exchange.js';
 import { keepEvents, targetChange } from '../fixtures.js';
 
 async function makeExchange() {
@@ -26,20 +27,23 @@
     retryBound: { ratio: 0.2, slack: 10, windowMilliseconds: 10_000 },
     storeReturnedAt: () => -Infinity,
   });
+  const storeAnsweredAt = (): number => store.answeredAt;
+  const client = new PeerClient();
+  const changes = new ViewExchange({ clock, events: log, view, client, storeAnsweredAt });
   const exchange = new PeerExchange({
     clock,
     events: log,
     view,
     peers,
     loads: new PeerLoads(clock, state),
-    client: new PeerClient(),
-    storeAnsweredAt: () => store.answeredAt,
+    changes,
+    storeAnsweredAt,
     isLeaving: () => false,
     busyShare: () => 0,
   });
   view.replace(5, [targetChange(5)]);
   await clock.advance(1_000);
-  return { clock, view, peers, state, store, exchange, events };
+  return { clock, view, peers, state, store, exchange, changes, events };
 }
 
 /** A watcher's report that the store had nothing newer than this change. */
@@ -127,25 +131,25 @@
   });
 
   it('does not pass on, in answers to calls, what only others were answered', async () => {
-    const { exchange } = await makeExchange();
+    const { exchange, changes } = await makeExchange();
     exchange.takeDatagram(reportText(200));
-    expect(exchange.deltaFor({ afterRevision: 0 }).answeredAgeMilliseconds).toBeUndefined();
+    expect(changes.deltaFor({ afterRevision: 0 }).answeredAgeMilliseconds).toBeUndefined();
   });
 
   it('tells how long ago the store answered this host itself', async () => {
-    const { clock, store, exchange } = await makeExchange();
+    const { clock, store, changes } = await makeExchange();
     store.answeredAt = 900;
     await clock.advance(50);
-    expect(exchange.deltaFor({ afterRevision: 0 }).answeredAgeMilliseconds).toBe(150);
+    expect(changes.deltaFor({ afterRevision: 0 }).answeredAgeMilliseconds).toBe(150);
   });
 
   it('gives only what the caller does not know, or everything where that is not kept', async () => {
-    const { view, exchange } = await makeExchange();
+    const { view, changes } = await makeExchange();
     view.apply({ afterRevision: 5, revision: 6, changes: [targetChange(6, { id: 'new' })] });
-    expect(exchange.deltaFor({ afterRevision: 5 })).toMatchObject({ isWhole: false, revision: 6 });
-    expect(exchange.deltaFor({ afterRevision: 5 }).changes).toHaveLength(1);
-    expect(exchange.deltaFor({ afterRevision: 2 })).toMatchObject({ isWhole: true });
-    expect(exchange.deltaFor({ afterRevision: 2 }).changes).toHaveLength(2);
+    expect(changes.deltaFor({ afterRevision: 5 })).toMatchObject({ isWhole: false, revision: 6 });
+    expect(changes.deltaFor({ afterRevision: 5 }).changes).toHaveLength(1);
+    expect(changes.deltaFor({ afterRevision: 2 })).toMatchObject({ isWhole: true });
+    expect(changes.deltaFor({ afterRevision: 2 }).changes).toHaveLength(2);
   });
 
   it('says what is wrong with a message that it does not understand, and goes on', async () => {
--- a/packages/entry/tests/peers/peer-loads.test.ts
+++ b/packages/entry/tests/peers/peer-loads.test.ts
@@ -52,6 +52,13 @@
     expect(target('b').load(clock.now())).toBe(1);
   });
 
+  it('counts nothing twice when it begins to hear of the whole fleet', () => {
+    const { loads, target, clock } = makeLoads();
+    loads.take('host h1', { a: 2 });
+    loads.takeFleet('fleet', { a: 3 }, 0);
+    expect(target('a').load(clock.now())).toBe(3);
+  });
+
   it('forgets what a source told that fell silent', async () => {
     const { clock, loads, target } = makeLoads();
     loads.take('host h1', { a: 2 });
