--- a/eslint.config.js
+++ b/eslint.config.js
@@ -23,7 +23,8 @@
     },
   },
   {
-    files: ['**/*.js', 'vitest.config.ts'],
+    files: ['**/*.js', '**/*.mjs', 'vitest.config.ts'],
     ...tseslint.configs.disableTypeChecked,
   },
+  { files: ['**/*.mjs'], languageOptions: { globals: { console: false, process: false } } },
 );
