--- a/packages/entry/tests/fixtures.ts
+++ b/packages/entry/tests/fixtures.ts
@@ -1,8 +1,10 @@
 import type { RouteConfiguration, TargetRecord } from '@ferrylock/routing';
 import { makeRoute, makeTargetRecord } from '@ferrylock/test-utils';
 import { silentLogger } from '@ferrylock/utils';
-import type { EntryEvent, EntryHostRecord, FleetChange } from '../src/index.js';
+import type { Clock } from '@ferrylock/utils';
+import type { EntryEvent, EntryHostRecord, FleetChange, FleetView } from '../src/index.js';
 import { EventLog } from '../src/index.js';
+import { RoutingState } from '../src/routing/routing-state.js';
 
 export function makeHostRecord(changes: Partial<EntryHostRecord> = {}): EntryHostRecord {
   return {
@@ -59,6 +61,20 @@
   return { key: 'configuration', revision, record: { kind: 'configuration', configuration } };
 }
 
+/** Routing by a view, in the region `jylland`. */
+export function makeRoutingState(clock: Clock, view: FleetView, events: EventLog): RoutingState {
+  return new RoutingState({
+    clock,
+    events,
+    view,
+    ownRegion: 'jylland',
+    regions: {},
+    drainMilliseconds: 2_000,
+    retryBound: { ratio: 0.2, slack: 10, windowMilliseconds: 10_000 },
+    storeReturnedAt: () => -Infinity,
+  });
+}
+
 /** An event log that keeps what is written to it. */
 export function keepEvents(): { log: EventLog; events: EntryEvent[] } {
   const events: EntryEvent[] = [];
--- a/packages/entry/tests/peers/peer-exchange.test.ts
+++ b/packages/entry/tests/peers/peer-exchange.test.ts
@@ -7,9 +7,8 @@
 import { PeerLoads } from '../../src/peers/peer-loads.js';
 import { DIGEST_METHOD, REPORT_METHOD } from '../../src/peers/peer-messages.js';
 import { PeerTable } from '../../src/peers/peer-table.js';
-import { RoutingState } from '../../src/routing/routing-state.js';
 import { ViewExchange } from '../../src/peers/view-exchange.js';
-import { keepEvents, targetChange } from '../fixtures.js';
+import { keepEvents, makeRoutingState, targetChange } from '../fixtures.js';
 
 async function makeExchange() {
   const clock = new FakeClock();
@@ -17,16 +16,7 @@
   const view = new FleetView();
   const peers = new PeerTable(clock, log, () => undefined);
   const store = { answeredAt: -Infinity };
-  const state = new RoutingState({
-    clock,
-    events: log,
-    view,
-    ownRegion: 'jylland',
-    regions: {},
-    drainMilliseconds: 2_000,
-    retryBound: { ratio: 0.2, slack: 10, windowMilliseconds: 10_000 },
-    storeReturnedAt: () => -Infinity,
-  });
+  const state = makeRoutingState(clock, view, log);
   const storeAnsweredAt = (): number => store.answeredAt;
   const client = new PeerClient();
   const changes = new ViewExchange({ clock, events: log, view, client, storeAnsweredAt });
--- a/packages/entry/tests/peers/peer-loads.test.ts
+++ b/packages/entry/tests/peers/peer-loads.test.ts
@@ -3,23 +3,13 @@
 import { FleetView } from '../../src/index.js';
 import { PeerLoads } from '../../src/peers/peer-loads.js';
 import { SILENCE_MILLISECONDS } from '../../src/peers/peer-table.js';
-import { RoutingState } from '../../src/routing/routing-state.js';
-import { keepEvents, targetChange } from '../fixtures.js';
+import { keepEvents, makeRoutingState, targetChange } from '../fixtures.js';
 
 function makeLoads() {
   const clock = new FakeClock();
   const { log } = keepEvents();
   const view = new FleetView();
-  const state = new RoutingState({
-    clock,
-    events: log,
-    view,
-    ownRegion: 'jylland',
-    regions: {},
-    drainMilliseconds: 2_000,
-    retryBound: { ratio: 0.2, slack: 10, windowMilliseconds: 10_000 },
-    storeReturnedAt: () => -Infinity,
-  });
+  const state = makeRoutingState(clock, view, log);
   view.replace(1, [targetChange(1, { id: 'a' }), targetChange(1, { id: 'b' })]);
   const target = (id: string) => {
     const found = state.serviceOfTarget(id)?.targets.get(id);
