fix: a target that vanished is dropped whatever the host loses sight of later

Ruled out: late news (the vanishing was known within 70 ms at every host); the relays (the host heard all peers until 10 s, and the hold is older than they are). Change: what was known of the store when the record vanished decides; later losses do not extend it. The hold after a return is 2.1 s instead of 2.3, so that a host that notices the end of a cut after 0.9 s is done within the 3 s.

--- a/packages/entry/src/routing/routing-state.ts
+++ b/packages/entry/src/routing/routing-state.ts
@@ -102,7 +102,7 @@
       }
     }
     for (const [service, ids] of vanishedOf) {
-      this.#vanished.add(ids, service.targets.size);
+      this.#vanished.add(ids, service.targets.size, this.#options.storeReturnedAt());
     }
   }
 
--- a/packages/entry/src/routing/vanished-targets.ts
+++ b/packages/entry/src/routing/vanished-targets.ts
@@ -4,8 +4,12 @@
 const SHARE_OF_DRAIN = 0.6;
 /** Longest use of a vanished target where nothing suggests that the store lost it. */
 const LONGEST_HOLD_MILLISECONDS = 1_200;
-/** Time after the store's return within which targets that live have recorded themselves anew. */
-const RETURN_MILLISECONDS = 2_300;
+/**
+ * Time after the store's return within which targets that live have recorded themselves anew: two
+ * seconds by agreement. A host that was cut off takes its own return for the store's, and is to have
+ * dropped what vanished meanwhile three seconds after the cut, of which it takes up to 0.9 to notice.
+ */
+const RETURN_MILLISECONDS = 2_100;
 /** Part of a service's targets whose vanishing together is taken for a fault of the store. */
 const DOUBTED_SHARE = 0.5;
 /** Fewest targets whose vanishing together is doubted. */
@@ -17,13 +21,22 @@
   readonly drainMilliseconds: number;
 }
 
+/** A target whose record vanished. */
+interface Vanished {
+  readonly at: number;
+  /** When it counts as gone; infinite while the store is away and its return is not known. */
+  readonly heldUntil: number;
+}
+
 /**
  * Decides how long a target whose record vanished without notice is still used. It may have left,
- * it may be dead, or the store may have lost a record that the target will write again.
+ * it may be dead, or the store may have lost a record that the target will write again. Only what
+ * was known of the store when the record vanished counts: that the store is lost from sight later
+ * says nothing about a target that had gone before.
  */
 export class VanishedTargets {
   readonly #options: VanishedTargetsOptions;
-  readonly #vanishedAt = new Map<string, number>();
+  readonly #vanished = new Map<string, Vanished>();
   #doubtedUntil = -Infinity;
 
   constructor(options: VanishedTargetsOptions) {
@@ -31,45 +44,53 @@
   }
 
   has(id: string): boolean {
-    return this.#vanishedAt.has(id);
+    return this.#vanished.has(id);
   }
 
-  /** @param ofService - targets that the service had before */
-  add(ids: readonly string[], ofService: number): void {
+  /**
+   * @param ofService - targets that the service had before
+   * @param storeReturnedAt - when the store last began to answer after a fault; infinite while it
+   *   does not answer
+   */
+  add(ids: readonly string[], ofService: number, storeReturnedAt: number): void {
     const now = this.#options.clock.now();
-    for (const id of ids) {
-      this.#vanishedAt.set(id, now);
-    }
     if (ids.length >= FEWEST_DOUBTED && ids.length >= DOUBTED_SHARE * ofService) {
       this.#doubtedUntil = now + RETURN_MILLISECONDS;
     }
+    for (const id of ids) {
+      const heldUntil = Math.max(this.#doubtedUntil, this.#heldUntil(now, storeReturnedAt));
+      this.#vanished.set(id, { at: now, heldUntil });
+    }
   }
 
   /** The target has recorded itself again. */
   remove(id: string): boolean {
-    return this.#vanishedAt.delete(id);
+    return this.#vanished.delete(id);
   }
 
   /**
    * Takes out those that are gone by now.
    *
-   * @param storeReturnedAt - when the store last began to answer after a fault; infinite while it
-   *   does not answer
+   * @param storeReturnedAt - as in {@link add}
    */
   takeGone(storeReturnedAt: number): string[] {
     const now = this.#options.clock.now();
-    const heldUntil = Math.max(this.#doubtedUntil, storeReturnedAt + RETURN_MILLISECONDS);
-    if (now < heldUntil) {
-      return [];
-    }
-    const hold = Math.min(
-      LONGEST_HOLD_MILLISECONDS,
-      SHARE_OF_DRAIN * this.#options.drainMilliseconds,
-    );
-    const gone = [...this.#vanishedAt].filter(([, at]) => now - at >= hold).map(([id]) => id);
-    for (const id of gone) {
-      this.#vanishedAt.delete(id);
+    const gone: string[] = [];
+    for (const [id, { at, heldUntil }] of this.#vanished) {
+      const end = Number.isFinite(heldUntil) ? heldUntil : this.#heldUntil(at, storeReturnedAt);
+      if (now >= end) {
+        this.#vanished.delete(id);
+        gone.push(id);
+      } else if (end !== heldUntil) {
+        this.#vanished.set(id, { at, heldUntil: end });
+      }
     }
     return gone;
   }
+
+  #heldUntil(vanishedAt: number, storeReturnedAt: number): number {
+    const { drainMilliseconds } = this.#options;
+    const hold = Math.min(LONGEST_HOLD_MILLISECONDS, SHARE_OF_DRAIN * drainMilliseconds);
+    return Math.max(vanishedAt + hold, storeReturnedAt + RETURN_MILLISECONDS);
+  }
 }
