test: loads of a report that comes late are ignored

The table no longer holds loads, so that 'ignores a report that comes after a later one' now looks at the status (peer table) and, with this commit, at the loads (peer exchange); 'tells listeners that a silent peer has nothing under way' became 'forgets what a source told that fell silent' (peer loads), which checks the target's load itself.

--- a/packages/entry/tests/peers/peer-exchange.test.ts
+++ b/packages/entry/tests/peers/peer-exchange.test.ts
@@ -37,14 +37,18 @@
 }
 
 /** A watcher's report that the store had nothing newer than this change. */
-function reportText(ageMilliseconds: number, lastChange = 5, sequence = 1): string {
+function reportText(
+  ageMilliseconds: number,
+  lastChange = 5,
+  { sequence = 1, inFlight = '' } = {},
+): string {
   const source = { name: 'watcher', incarnation: 'first', sequence };
   return JSON.stringify(
     createJSONRPCNotification(REPORT_METHOD, {
       statuses: `${source.name}\t${source.incarnation}\t${sequence}\t0\t10`,
       lastChange,
       storeAnswer: { ...source, lastChange, ageMilliseconds },
-      inFlight: '',
+      inFlight,
     }),
   );
 }
@@ -120,6 +124,16 @@
     expect(target?.load(clock.now())).toBe(3);
   });
 
+  it('ignores the loads of a report that comes after a later one', async () => {
+    const { clock, state, exchange } = await makeExchange();
+    const [service] = [...state.services];
+    const [target] = [...(service?.targets.values() ?? [])];
+    const id = target?.id ?? '';
+    exchange.takeDatagram(reportText(200, 5, { sequence: 5, inFlight: `${id}\t1` }));
+    exchange.takeDatagram(reportText(200, 5, { sequence: 4, inFlight: `${id}\t9` }));
+    expect(target?.load(clock.now())).toBe(1);
+  });
+
   it('does not pass on, in answers to calls, what only others were answered', async () => {
     const { exchange, changes } = await makeExchange();
     exchange.takeDatagram(reportText(200));
