feat: keys stay in their callers' region as far as its targets carry them

Under load, busy first targets sent requests to targets that did not know the object, whose work takes three times as long. Change: RegionPlacement decides the part of the keys at home by slots and by what callers of each region ask for, which hosts add to their status; it moves by two fifths of the bound on shifts. TargetChoice takes the target that is expected to answer first (way, wait, work), unknown objects only while half of the slots are free, and at most 6 in 100 requests leave their key's region because of a wait. ServiceTargets moves to routing; mechanisms can be left out. The tests of the former thresholds are replaced by ones that check both sides of each price.

--- a/packages/entry/src/entry-host-settings.ts
+++ b/packages/entry/src/entry-host-settings.ts
@@ -1,4 +1,4 @@
-import type { RetryBound } from '@ferrylock/routing';
+import type { LeftOut, RetryBound, ShiftBound } from '@ferrylock/routing';
 
 /** What an entry host is told when it starts. */
 export interface EntryHostSettings {
@@ -21,6 +21,9 @@
   /** How long a leaving target serves on after it said so. */
   readonly drainMilliseconds: number;
   readonly retryBound: RetryBound;
+  readonly shiftBound: ShiftBound;
+  /** Mechanisms that are left out, to measure what they are worth. */
+  readonly leftOut: LeftOut;
   /** Longest that callers use a directory answer. */
   readonly longestDirectoryLifetimeMilliseconds: number;
 }
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -17,6 +17,7 @@
 import { PeerExchange } from './peers/peer-exchange.js';
 import { PeerLoads } from './peers/peer-loads.js';
 import { PeerTable } from './peers/peer-table.js';
+import type { RequestRates } from './peers/host-status.js';
 import { ViewExchange } from './peers/view-exchange.js';
 import { AnswerWriter } from './request/answer-writer.js';
 import { BodyReader } from './request/body-reader.js';
@@ -24,6 +25,7 @@
 import { RequestForwarder } from './request/request-forwarder.js';
 import { RequestMetrics } from './request/request-metrics.js';
 import { TargetClient } from './request/target-client.js';
+import { sumDemand } from './routing/region-demand.js';
 import { RoutingState } from './routing/routing-state.js';
 import { ControlServer } from './servers/control-server.js';
 import { FrontServer } from './servers/front-server.js';
@@ -32,6 +34,8 @@
 
 /** Time between two looks at what has fallen silent or vanished. */
 const SWEEP_MILLISECONDS = 100;
+/** Time between two looks at where keys are to be served; the parts move slowly anyway. */
+const PLACEMENT_MILLISECONDS = 400;
 /** Time between two summaries in the log. */
 const SUMMARY_MILLISECONDS = 5_000;
 /** Time between two looks at whether all requests in flight have ended. */
@@ -67,7 +71,7 @@
   readonly #peers: PeerTable;
   readonly #loads: PeerLoads;
   readonly #peerClient = new PeerClient();
-  readonly #client = new TargetClient();
+  readonly #client: TargetClient;
   readonly #changes: ViewExchange;
   readonly #exchange: PeerExchange;
   readonly #watch: StoreWatch;
@@ -114,6 +118,13 @@
       loads: this.#loads,
       isLeaving: () => this.#isLeaving,
       busyShare: () => this.#busy.share,
+      asked: () => this.#asked(),
+    });
+    this.#client = new TargetClient({
+      clock,
+      onConnected: (address, milliseconds) => {
+        this.state.recordConnected(address, milliseconds);
+      },
     });
     const duty = new WatchDuty({
       clock,
@@ -295,6 +306,7 @@
   async #sweep(signal: AbortSignal): Promise<void> {
     const { clock, events } = this.#options;
     let before = clock.now();
+    let placedAt = -Infinity;
     while (!signal.aborted) {
       await clock.sleep(SWEEP_MILLISECONDS, signal);
       const now = clock.now();
@@ -308,9 +320,34 @@
       this.#loads.sweep();
       this.#health.recordConfirmation(this.view.confirmedAt);
       this.state.sweep();
+      if (now - placedAt >= PLACEMENT_MILLISECONDS) {
+        placedAt = now;
+        this.#place();
+      }
     }
   }
 
+  /** What this host's callers ask for, by service. */
+  #asked(): RequestRates {
+    const rates = [...this.state.services].map(
+      ({ name, asked }) => [name, asked.perSecond] as const,
+    );
+    return Object.fromEntries(rates.filter(([, rate]) => rate > 0));
+  }
+
+  /** Decides anew which keys stay in which region, by what the callers of each region ask for. */
+  #place(): void {
+    const { name, region } = this.#options.settings;
+    const hosts = this.view.records('entryHost').map(({ host }) => host);
+    const regions = new Map([
+      ...hosts.map((host) => [host.name, host.region] as const),
+      [name, region],
+    ]);
+    const own = { name, asked: this.#asked() };
+    const demand = sumDemand([own, ...this.#peers.alive], regions);
+    this.state.place((service, place) => demand.of(service, place));
+  }
+
   async #summarise(signal: AbortSignal): Promise<void> {
     const { clock, events } = this.#options;
     let writtenAt = clock.now();
@@ -320,6 +357,7 @@
       if (clock.now() - writtenAt >= SUMMARY_MILLISECONDS) {
         writtenAt = clock.now();
         const { answered, inFlight } = this.metrics;
+        this.state.logPlacement();
         events.write({ event: 'summary', answered, dropped: events.dropped, inFlight });
       }
     }
--- a/packages/entry/src/events.ts
+++ b/packages/entry/src/events.ts
@@ -103,6 +103,20 @@
     milliseconds: z.number(),
     load: z.number(),
   }),
+  /** Where a service's keys are served now, and what that follows from. */
+  z.object({
+    event: z.literal('placement'),
+    service: z.string(),
+    /** Part of the keys that stay in each region, with what its callers ask for in a second. */
+    regions: z.array(
+      z.object({
+        region: z.string(),
+        homeShare: z.number(),
+        slots: z.number(),
+        work: z.number().optional(),
+      }),
+    ),
+  }),
   /** Ordinary answers since the last such line. */
   z.object({
     event: z.literal('summary'),
--- a/packages/entry/src/peers/host-status.ts
+++ b/packages/entry/src/peers/host-status.ts
@@ -16,13 +16,20 @@
   readonly leaving: boolean;
   /** Part of its time in which it has work, from 0 to 1. */
   readonly busyShare: number;
+  /** Requests a second of its callers, by service; services without any are left out. */
+  readonly asked: RequestRates;
 }
 
+/** Requests a second by service. */
+export type RequestRates = Readonly<Record<string, number>>;
+
 /** Hosts' statuses as rows of text: a digest holds one for every host that its sender hears. */
 export const hostStatusesSchema = z.string().transform((text, context): HostStatus[] => {
   const statuses = decodeRows(text).map(toStatus);
-  if (statuses.some(({ sequence, busyShare }) => Number.isNaN(sequence + busyShare))) {
-    context.addIssue('expected rows of name, incarnation, sequence, leaving and busy percent');
+  if (!statuses.every(isWhole)) {
+    context.addIssue(
+      'expected rows of name, incarnation, sequence, leaving, busy percent, services and their rates',
+    );
   }
   return statuses;
 });
@@ -30,23 +37,38 @@
 /** The form that {@link hostStatusesSchema} reads. */
 export function encodeStatuses(statuses: readonly HostStatus[]): string {
   return encodeRows(
-    statuses.map(({ name, incarnation, sequence, leaving, busyShare }) => [
+    statuses.map(({ name, incarnation, sequence, leaving, busyShare, asked }) => [
       name,
       incarnation,
       sequence,
       leaving ? LEAVING : STAYING,
       Math.round(busyShare * PERCENT),
+      ...Object.entries(asked).flatMap(([service, rate]) => [service, Math.round(rate)]),
     ]),
   );
 }
 
 function toStatus([name = '', incarnation = '', ...rest]: readonly string[]): HostStatus {
-  const [sequence, leaving, busyPercent] = rest;
+  const [sequence, leaving, busyPercent, ...rates] = rest;
   return {
     name,
     incarnation,
     sequence: Number.parseInt(sequence ?? '', 10),
     leaving: leaving === LEAVING,
     busyShare: Number.parseInt(busyPercent ?? '', 10) / PERCENT,
+    asked: toRates(rates),
   };
 }
+
+/** Services and their rates in turn. */
+function toRates(fields: readonly string[]): RequestRates {
+  const rates: Record<string, number> = {};
+  for (let index = 0; index < fields.length; index += 2) {
+    rates[fields[index] ?? ''] = Number.parseInt(fields[index + 1] ?? '', 10);
+  }
+  return rates;
+}
+
+function isWhole({ sequence, busyShare, asked }: HostStatus): boolean {
+  return ![sequence, busyShare, ...Object.values(asked)].some(Number.isNaN);
+}
--- a/packages/entry/src/peers/message-writer.ts
+++ b/packages/entry/src/peers/message-writer.ts
@@ -2,7 +2,7 @@
 import { createJSONRPCNotification } from 'json-rpc-2.0';
 import type { EntryHostRecord } from '../fleet/fleet-record.js';
 import type { FleetDelta, FleetView } from '../fleet/fleet-view.js';
-import type { HostStatus } from './host-status.js';
+import type { HostStatus, RequestRates } from './host-status.js';
 import { encodeStatuses } from './host-status.js';
 import type { InFlight } from './in-flight.js';
 import { encodeInFlight } from './in-flight.js';
@@ -25,6 +25,8 @@
   readonly isLeaving: () => boolean;
   /** Part of this host's time in which it has work, from 0 to 1. */
   readonly busyShare: () => number;
+  /** What this host's callers ask for. */
+  readonly asked: () => RequestRates;
   /** When the store last answered this host itself, in monotonic milliseconds. */
   readonly storeAnsweredAt: () => number;
 }
@@ -117,7 +119,7 @@
   }
 
   #ownStatus(): HostStatus {
-    const { own, isLeaving, busyShare } = this.#options;
+    const { own, isLeaving, busyShare, asked } = this.#options;
     const { name, incarnation } = own;
     return {
       name,
@@ -125,6 +127,7 @@
       sequence: this.#sequence,
       leaving: isLeaving(),
       busyShare: busyShare(),
+      asked: asked(),
     };
   }
 
--- a/packages/entry/src/peers/peer-exchange.ts
+++ b/packages/entry/src/peers/peer-exchange.ts
@@ -4,7 +4,7 @@
 import type { EventLog } from '../events.js';
 import type { EntryHostRecord } from '../fleet/fleet-record.js';
 import type { FleetView } from '../fleet/fleet-view.js';
-import type { HostStatus } from './host-status.js';
+import type { HostStatus, RequestRates } from './host-status.js';
 import { loadSource, MessageWriter } from './message-writer.js';
 import type { PeerLoads } from './peer-loads.js';
 import type { Digest, HostReport } from './peer-messages.js';
@@ -44,6 +44,8 @@
   readonly isLeaving: () => boolean;
   /** Part of this host's time in which it has work, from 0 to 1. */
   readonly busyShare: () => number;
+  /** What this host's callers ask for. */
+  readonly asked: () => RequestRates;
 }
 
 /** What is needed once the own addresses are known. */
--- a/packages/entry/src/request/request-forwarder.ts
+++ b/packages/entry/src/request/request-forwarder.ts
@@ -1,9 +1,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { TargetState } from '@ferrylock/routing';
-import { mostLoadPerSlot, ShareBalancer } from '@ferrylock/routing';
+import type { ServiceTargets, TargetState } from '@ferrylock/routing';
+import { ShareBalancer } from '@ferrylock/routing';
 import type { Clock, Random } from '@ferrylock/utils';
 import type { RoutingState } from '../routing/routing-state.js';
-import type { ServiceTargets } from '../routing/service-targets.js';
 import type { AnswerWriter } from './answer-writer.js';
 import type { BodyFailure, BodyReader } from './body-reader.js';
 import type { CallerExchange, RoutedExchange } from './caller-exchange.js';
@@ -128,6 +127,7 @@
       return;
     }
     service.retries.recordRequest();
+    service.asked.record();
     const progress = new RequestProgress(exchange.route);
     const journey: Journey = { exchange, service, progress, send: undefined };
     const end = (cause: EndCause): void => {
@@ -177,30 +177,17 @@
   }
 
   #chooseTarget({ exchange, service, progress }: Journey): TargetState | undefined {
-    const { clock, random, largeHosts, ownName, state } = this.#options;
+    const { random, largeHosts, ownName, state } = this.#options;
     const { route } = exchange;
-    return service.choice.choose(
-      {
-        key: keyOf(exchange),
-        homeRegions: route.homeRegions,
-        tried: progress.tried,
-        mostLoadPerSlot: mostLoadPerSlot({
-          route,
-          runMilliseconds: service.runMilliseconds,
-          leastUrgent: state.active?.leastUrgent ?? route.priority,
-        }),
-        staysNear: route.kind === 'upload',
-        prefersSecond: random.next() < SECOND_TARGET_SHARE,
-      },
-      clock.now(),
-      (target) =>
-        service.coldGate.tryTake({
-          target: target.id,
-          requestsPerSecond: service.settings?.coldRequestsPerSecond ?? Infinity,
-          ownName,
-          hosts: largeHosts(),
-        }),
-    );
+    return service.choose({
+      route,
+      key: keyOf(exchange),
+      tried: progress.tried,
+      leastUrgent: state.active?.leastUrgent ?? route.priority,
+      prefersSecond: random.next() < SECOND_TARGET_SHARE,
+      ownName,
+      coldSenders: largeHosts(),
+    });
   }
 
   /** Whether a further send may follow; one that is a second arrival draws on the allowance. */
--- a/packages/entry/src/request/target-client.ts
+++ b/packages/entry/src/request/target-client.ts
@@ -1,6 +1,7 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import type { buildConnector as BuildConnector } from 'undici';
 import { Agent, buildConnector } from 'undici';
+import type { Clock } from '@ferrylock/utils';
 
 /** Idle connections close before most targets would close them, so that none closes under a request. */
 const IDLE_MILLISECONDS = 4_000;
@@ -54,8 +55,15 @@
   cancel(): void;
 }
 
+export interface TargetClientOptions {
+  readonly clock: Clock;
+  /** Told how long a connection to an address took to come up. */
+  readonly onConnected: (address: string, milliseconds: number) => void;
+}
+
 /** Sends requests to targets. A connection carries one request at a time. */
 export class TargetClient {
+  readonly #options: TargetClientOptions;
   /** Set while the transport is told that a connection was reset. */
   #isReset = false;
   readonly #connect = this.#connector();
@@ -77,6 +85,10 @@
     bodyTimeout: 0,
   });
 
+  constructor(options: TargetClientOptions) {
+    this.#options = options;
+  }
+
   send(request: TargetRequest): Send {
     let abort: ((error: Error) => void) | undefined;
     let isCancelled = false;
@@ -157,7 +169,12 @@
   #connector(): BuildConnector.connector {
     const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MILLISECONDS });
     return (options, callback) => {
+      const { clock, onConnected } = this.#options;
+      const startedAt = clock.now();
       connect(options, (...result) => {
+        if (result[1] !== null) {
+          onConnected(`${options.hostname}:${options.port}`, clock.now() - startedAt);
+        }
         result[1]?.prependListener('error', () => {
           this.#isReset = true;
           process.nextTick(() => {
--- a/packages/entry/src/request/target-send.ts
+++ b/packages/entry/src/request/target-send.ts
@@ -1,7 +1,6 @@
-import type { TargetState } from '@ferrylock/routing';
+import type { ServiceTargets, TargetState } from '@ferrylock/routing';
 import type { Clock } from '@ferrylock/utils';
 import type { EventLog } from '../events.js';
-import type { ServiceTargets } from '../routing/service-targets.js';
 import type { RoutedExchange } from './caller-exchange.js';
 import { keyOf } from './caller-exchange.js';
 import type { AnswerFacts, HeaderDialect } from './dialect.js';
@@ -104,7 +103,7 @@
   }
 
   async #judge(): Promise<SendVerdict> {
-    const { clock, dialect, target, service } = this.#options;
+    const { clock, dialect, exchange, target, service } = this.#options;
     const outcome = await this.#send.outcome;
     target.inFlight--;
     const now = clock.now();
@@ -127,8 +126,12 @@
       target.recordShed(now);
       return { kind: 'not-run', reason: 'target-refused', detail: `status ${answer.status}` };
     }
-    target.recordAnswer(keyOf(this.#options.exchange), now);
-    service.recordAnswer(now - this.sentAt, this.#loadPerSlot);
+    service.recordAnswer(target, {
+      route: exchange.route,
+      key: keyOf(exchange),
+      milliseconds: now - this.sentAt,
+      loadPerSlot: this.#loadPerSlot,
+    });
     return { kind: 'answered', answer, facts };
   }
 
--- a/packages/entry/src/routing/routing-state.ts
+++ b/packages/entry/src/routing/routing-state.ts
@@ -1,15 +1,16 @@
 import type {
   CallerLimits,
+  LeftOut,
   RetryBound,
   RouteConfiguration,
+  ShiftBound,
   TargetRecord,
 } from '@ferrylock/routing';
-import { RouteTable } from '@ferrylock/routing';
+import { RouteTable, ServiceTargets } from '@ferrylock/routing';
 import type { Clock } from '@ferrylock/utils';
 import type { EventLog } from '../events.js';
 import type { FleetChange } from '../fleet/fleet-record.js';
 import type { FleetView } from '../fleet/fleet-view.js';
-import { ServiceTargets } from './service-targets.js';
 import { VanishedTargets } from './vanished-targets.js';
 
 export interface RoutingStateOptions {
@@ -21,6 +22,8 @@
   readonly regions: Readonly<Record<string, string>>;
   readonly drainMilliseconds: number;
   readonly retryBound: RetryBound;
+  readonly shiftBound: ShiftBound;
+  readonly leftOut: LeftOut;
   /** When the store last began to answer after a fault; infinite while it does not answer. */
   readonly storeReturnedAt: () => number;
 }
@@ -34,12 +37,19 @@
   readonly leastUrgent: number;
 }
 
+/** Whose address it is, as last recorded. */
+interface TargetPlace {
+  readonly service: ServiceTargets;
+  readonly failureDomain: string;
+}
+
 /** What requests are routed by: the newest configuration, and all services' targets. */
 export class RoutingState {
   readonly #options: RoutingStateOptions;
   readonly #services = new Map<string, ServiceTargets>();
   readonly #serviceOfTarget = new Map<string, ServiceTargets>();
   readonly #targetOfKey = new Map<string, string>();
+  readonly #placeOfAddress = new Map<string, TargetPlace>();
   readonly #evacuated = new Map<string, string>();
   readonly #vanished: VanishedTargets;
   readonly #limitsListeners: ((limits: CallerLimits) => void)[] = [];
@@ -80,6 +90,33 @@
     return this.#serviceOfTarget.get(id);
   }
 
+  /** A connection to a target came up in so many milliseconds. */
+  recordConnected(address: string, milliseconds: number): void {
+    const place = this.#placeOfAddress.get(address);
+    place?.service.roundTrips.record(place.failureDomain, milliseconds);
+  }
+
+  /**
+   * Decides anew which keys stay in which region.
+   *
+   * @param requestsPerSecond - what a region's callers ask of a service; undefined while unknown
+   */
+  place(requestsPerSecond: (service: string, region: string) => number | undefined): void {
+    for (const service of this.#services.values()) {
+      service.place((region) => requestsPerSecond(service.name, region));
+    }
+  }
+
+  /** Writes down where each service's keys are served. */
+  logPlacement(): void {
+    for (const { name, placement } of this.#services.values()) {
+      const regions = placement.parts;
+      if (regions.length > 1) {
+        this.#options.events.write({ event: 'placement', service: name, regions });
+      }
+    }
+  }
+
   /** To be called a few times a second: drops targets that vanished and did not come back. */
   sweep(): void {
     for (const id of this.#vanished.takeGone(this.#options.storeReturnedAt())) {
@@ -128,6 +165,8 @@
     const isNew = service.put(record);
     this.#serviceOfTarget.set(record.id, service);
     this.#targetOfKey.set(key, record.id);
+    const { address, failureDomain } = record;
+    this.#placeOfAddress.set(address, { service, failureDomain });
     const returned = this.#vanished.remove(record.id);
     if (returned || isNew) {
       this.#logTarget(record.id, service, isNew ? 'added' : 'returned');
@@ -156,8 +195,12 @@
     if (service === undefined) {
       return;
     }
+    const address = service.targets.get(id)?.record.address ?? '';
     service.remove(id);
     this.#serviceOfTarget.delete(id);
+    if (this.#placeOfAddress.get(address)?.service === service) {
+      this.#placeOfAddress.delete(address);
+    }
     this.#logTarget(id, service, 'removed', detail);
   }
 
@@ -166,11 +209,9 @@
     if (known !== undefined) {
       return known;
     }
-    const { clock, retryBound, ownRegion, regions } = this.#options;
+    const { regions } = this.#options;
     const created = new ServiceTargets(name, {
-      clock,
-      retryBound,
-      ownRegion,
+      ...this.#options,
       regionOf: (failureDomain) => regions[failureDomain] ?? failureDomain,
       isEvacuated: (failureDomain) => this.#isEvacuated(failureDomain),
     });
--- a/packages/entry/tests/fixtures.ts
+++ b/packages/entry/tests/fixtures.ts
@@ -1,4 +1,5 @@
 import type { RouteConfiguration, TargetRecord } from '@ferrylock/routing';
+import { NOTHING_LEFT_OUT } from '@ferrylock/routing';
 import { makeRoute, makeTargetRecord } from '@ferrylock/test-utils';
 import { silentLogger } from '@ferrylock/utils';
 import type { Clock } from '@ferrylock/utils';
@@ -70,6 +71,8 @@
     ownRegion: 'jylland',
     regions: {},
     drainMilliseconds: 2_000,
+    shiftBound: { share: 0.15, windowMilliseconds: 2_000 },
+    leftOut: NOTHING_LEFT_OUT,
     retryBound: { ratio: 0.2, slack: 10, windowMilliseconds: 10_000 },
     storeReturnedAt: () => -Infinity,
   });
--- a/packages/entry/tests/peers/peer-exchange.test.ts
+++ b/packages/entry/tests/peers/peer-exchange.test.ts
@@ -30,6 +30,7 @@
     storeAnsweredAt,
     isLeaving: () => false,
     busyShare: () => 0,
+    asked: () => ({}),
   });
   view.replace(5, [targetChange(5)]);
   await clock.advance(1_000);
--- a/packages/entry/tests/peers/peer-table.test.ts
+++ b/packages/entry/tests/peers/peer-table.test.ts
@@ -11,6 +11,7 @@
     sequence: 1,
     leaving: false,
     busyShare: 0,
+    asked: {},
     ...changes,
   };
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -21,8 +21,18 @@
 } from './route-configuration.js';
 export { RouteTable } from './route-table.js';
 export { ShareBalancer } from './share-balancer.js';
+export { MECHANISMS, NOTHING_LEFT_OUT, parseLeftOut } from './mechanisms.js';
+export type { LeftOut, Mechanism } from './mechanisms.js';
+export { RegionPlacement } from './region-placement.js';
+export type { RegionPlacementOptions, RegionRoom } from './region-placement.js';
+export { RequestRate } from './request-rate.js';
+export { RoundTrips } from './round-trips.js';
+export { ServiceTargets } from './service-targets.js';
+export type { SeekingRequest, ServiceTargetsOptions, TargetAnswered } from './service-targets.js';
+export type { ShiftBound } from './shift-bound.js';
 export { TargetChoice } from './target-choice.js';
 export type { TargetChoiceOptions, TargetDemand } from './target-choice.js';
+export { WorkTimes } from './work-times.js';
 export { targetRecordSchema } from './target-record.js';
 export type { TargetRecord } from './target-record.js';
 export { TargetState } from './target-state.js';
--- /dev/null
+++ b/packages/routing/src/service-targets.ts
@@ -0,0 +1,219 @@
+import { MovingAverage } from '@ferrylock/utils';
+import type { Clock } from '@ferrylock/utils';
+import { ColdGate } from './cold-gate.js';
+import { RetryAllowance } from './divided-limits.js';
+import type { RetryBound } from './divided-limits.js';
+import { mostLoadPerSlot } from './most-load-per-slot.js';
+import type { LeftOut } from './mechanisms.js';
+import { RegionPlacement } from './region-placement.js';
+import type { RegionRoom } from './region-placement.js';
+import { RequestRate } from './request-rate.js';
+import { mostStepPerSecond, OverflowAllowance } from './shift-bound.js';
+import type { ShiftBound } from './shift-bound.js';
+import { RoundTrips } from './round-trips.js';
+import type { Route, RoutedService } from './route-configuration.js';
+import { TargetChoice } from './target-choice.js';
+import type { TargetRecord } from './target-record.js';
+import { TargetState } from './target-state.js';
+import { WorkTimes } from './work-times.js';
+
+/** How long requests get a connection each after a target sent an answer to another request. */
+const DISTRUST_MILLISECONDS = 10_000;
+/** Weight of one answer in the average time of work: some two seconds of a host's requests. */
+const RUN_WEIGHT = 0.02;
+const MILLISECONDS_PER_SECOND = 1_000;
+
+export interface ServiceTargetsOptions {
+  readonly clock: Clock;
+  readonly retryBound: RetryBound;
+  /** Region of each failure domain. */
+  readonly regionOf: (failureDomain: string) => string;
+  readonly ownRegion: string;
+  /** Whether a failure domain is being emptied. */
+  readonly isEvacuated: (failureDomain: string) => boolean;
+  readonly shiftBound: ShiftBound;
+  readonly leftOut: LeftOut;
+}
+
+/** A request that looks for a target. */
+export interface SeekingRequest {
+  readonly route: Route;
+  readonly key: string;
+  /** Targets that were tried for it already. */
+  readonly tried: ReadonlySet<string>;
+  /** Largest priority number of all routes. */
+  readonly leastUrgent: number;
+  readonly prefersSecond: boolean;
+  readonly ownName: string;
+  /** Hosts that may send to a cold target; the same array while nothing changes. */
+  readonly coldSenders: readonly string[];
+}
+
+/** An answer by a target that ran the request. */
+export interface TargetAnswered {
+  readonly route: Route;
+  readonly key: string;
+  /** From the send to the whole answer. */
+  readonly milliseconds: number;
+  /** The target's load before the send, for each of its slots. */
+  readonly loadPerSlot: number;
+}
+
+/** One service's targets, how to choose among them, and what its requests may draw on. */
+export class ServiceTargets {
+  readonly targets = new Map<string, TargetState>();
+  readonly choice: TargetChoice;
+  readonly placement: RegionPlacement;
+  readonly roundTrips = new RoundTrips();
+  readonly retries: RetryAllowance;
+  readonly coldGate: ColdGate;
+  readonly overflows: OverflowAllowance;
+  /** Requests of this host's callers. */
+  readonly asked: RequestRate;
+  /** Absent while no configuration names the service. */
+  settings: RoutedService | undefined;
+  readonly #options: ServiceTargetsOptions;
+  readonly #run = new MovingAverage(RUN_WEIGHT);
+  readonly #workOfRoute = new Map<string, WorkTimes>();
+  #distrustedUntil = -Infinity;
+
+  constructor(
+    readonly name: string,
+    options: ServiceTargetsOptions,
+  ) {
+    this.#options = options;
+    this.placement = new RegionPlacement({
+      ...options,
+      mostStepPerSecond: mostStepPerSecond(options.shiftBound),
+    });
+    this.overflows = new OverflowAllowance(options.clock, options.shiftBound);
+    this.choice = new TargetChoice(this.targets, {
+      ...options,
+      placement: this.placement,
+      roundTripMilliseconds: ({ record }) => this.roundTrips.of(record.failureDomain),
+    });
+    this.retries = new RetryAllowance(options.clock, options.retryBound);
+    this.coldGate = new ColdGate(options.clock);
+    this.asked = new RequestRate(options.clock);
+  }
+
+  /** Takes a record on; tells whether it was not known before. */
+  put(record: TargetRecord): boolean {
+    const now = this.#options.clock.now();
+    const known = this.targets.get(record.id);
+    if (known !== undefined) {
+      known.update(record, now);
+      return false;
+    }
+    this.targets.set(record.id, new TargetState(record, now));
+    this.choice.membersChanged();
+    return true;
+  }
+
+  remove(id: string): void {
+    this.targets.delete(id);
+    this.coldGate.forget(id);
+    this.choice.membersChanged();
+  }
+
+  /** The target to send a request to now, or undefined where none may take it. */
+  choose(request: SeekingRequest): TargetState | undefined {
+    const { route, key, tried, leastUrgent, prefersSecond, ownName, coldSenders } = request;
+    if (this.placement.isEmpty) {
+      this.place(() => undefined);
+    }
+    const work = this.#workOf(route);
+    const demand = {
+      key,
+      homeRegions: route.homeRegions,
+      tried,
+      mostLoadPerSlot: mostLoadPerSlot({ route, runMilliseconds: this.#run.value, leastUrgent }),
+      staysNear: route.kind === 'upload',
+      prefersSecond,
+      workMilliseconds: work.knownMilliseconds,
+      extraMilliseconds: work.extraMilliseconds,
+      mayOverflow: this.overflows.hasRoom,
+    };
+    const chosen = this.choice.choose(demand, this.#options.clock.now(), (target) =>
+      this.coldGate.tryTake({
+        target: target.id,
+        requestsPerSecond: this.settings?.coldRequestsPerSecond ?? Infinity,
+        ownName,
+        hosts: coldSenders,
+      }),
+    );
+    this.#countOverflow(key, chosen);
+    return chosen;
+  }
+
+  #countOverflow(key: string, chosen: TargetState | undefined): void {
+    const { regionOf } = this.#options;
+    const region = chosen === undefined ? undefined : regionOf(chosen.record.failureDomain);
+    this.overflows.recordRequest();
+    if (region !== undefined && region !== this.placement.orderOf(key)[0]) {
+      this.overflows.recordOverflow();
+    }
+  }
+
+  /** Learns from an answer how long work takes, and that the target knows the object. */
+  recordAnswer(target: TargetState, answered: TargetAnswered): void {
+    const { route, key, milliseconds, loadPerSlot } = answered;
+    const now = this.#options.clock.now();
+    const way = this.roundTrips.of(target.record.failureDomain);
+    const worked = Math.max(1, milliseconds - way) / Math.max(1, loadPerSlot);
+    this.#workOf(route).record(worked, target.isFamiliar(key, now));
+    this.#run.add(worked);
+    target.recordAnswer(key, now);
+  }
+
+  /**
+   * Decides anew which part of the keys stays in which region.
+   *
+   * @param requestsPerSecond - what a region's callers ask of this service; undefined where that is
+   *   not known
+   */
+  place(requestsPerSecond: (region: string) => number | undefined): void {
+    this.placement.update(this.#rooms(requestsPerSecond), this.#options.clock.now());
+  }
+
+  /** Whether connections to its targets may carry bytes that belong to no request. */
+  get isDistrusted(): boolean {
+    return this.#options.clock.now() < this.#distrustedUntil;
+  }
+
+  /**
+   * One of its targets answered a request that it was not asked.
+   *
+   * @returns whether its connections were trusted until now
+   */
+  distrust(): boolean {
+    const wasTrusted = !this.isDistrusted;
+    this.#distrustedUntil = this.#options.clock.now() + DISTRUST_MILLISECONDS;
+    return wasTrusted;
+  }
+
+  #rooms(requestsPerSecond: (region: string) => number | undefined): RegionRoom[] {
+    const { regionOf, isEvacuated, leftOut, clock } = this.#options;
+    const now = clock.now();
+    const slots = new Map<string, number>();
+    for (const target of this.targets.values()) {
+      const { failureDomain } = target.record;
+      const isUsable = !target.leaving && !isEvacuated(failureDomain) && !target.isCold(now);
+      const region = regionOf(failureDomain);
+      slots.set(region, (slots.get(region) ?? 0) + (isUsable ? target.record.slots : 0));
+    }
+    const run = this.#run.value;
+    return [...slots].map(([region, count]) => {
+      const rate = leftOut.has('measured-demand') ? undefined : requestsPerSecond(region);
+      const isKnown = rate !== undefined && run !== undefined;
+      const work = isKnown ? (rate * run) / MILLISECONDS_PER_SECOND : undefined;
+      return { region, slots: count, work };
+    });
+  }
+
+  #workOf({ name }: Route): WorkTimes {
+    const known = this.#workOfRoute.get(name) ?? new WorkTimes();
+    this.#workOfRoute.set(name, known);
+    return known;
+  }
+}
--- a/packages/routing/src/target-choice.ts
+++ b/packages/routing/src/target-choice.ts
@@ -1,24 +1,20 @@
-import { rendezvousRank } from '@ferrylock/utils';
+import { KeyOrder } from './key-order.js';
+import type { KeyRanks } from './key-order.js';
+import type { LeftOut } from './mechanisms.js';
+import type { RegionPlacement } from './region-placement.js';
 import type { TargetState } from './target-state.js';
 
-/** Ranks that are kept for keys seen; the first made go first. */
-const MOST_CACHED_RANKS = 5_000;
-/** Targets of a kept rank: so many that some of them are usable on all but the worst days. */
-const KEPT_OF_RANK = 24;
-/** Targets that are to know a key's object, so that one of them outlives the loss of any other. */
+/** Targets of a region that are to know a key's object, so that one outlives the loss of the other. */
 const COPIES = 2;
 /**
- * Targets that a key's requests go to at all. A target holds only so many objects: keys that go
- * everywhere push one another out, and most work is then on unknown objects.
- */
-const MOST_COPIES = 4;
-/** Requests for each slot from which a key's first target is passed over: none of them is free. */
-const FULL_LOAD_PER_SLOT = 1;
-/**
- * Requests for each slot up to which a target takes keys that are not its own. A target works
- * longer on an object that it does not know: where all are busy, that would make them busier still.
+ * Requests for each slot up to which a target takes objects that it does not know. It works longer
+ * on these: where all are busy, that would make them busier still.
  */
 const SPILL_LOAD_PER_SLOT = 0.5;
+/** Decides between targets that are expected to answer at the same time. */
+const TIE_MILLISECONDS = 0.01;
+/** Work on an object takes this many times as long where it is unknown, before that is measured. */
+const PRESUMED_EXTRA = 1;
 
 /** What a choice of target depends on, besides the targets. */
 export interface TargetDemand {
@@ -34,6 +30,12 @@
   readonly staysNear: boolean;
   /** Whether to prefer the key's second target, so that it comes to know the object. */
   readonly prefersSecond: boolean;
+  /** How long work on a known object takes; undefined before the first answer. */
+  readonly workMilliseconds: number | undefined;
+  /** How much longer work on an unknown object takes; undefined while that is not known. */
+  readonly extraMilliseconds: number | undefined;
+  /** Whether it may leave its key's region because of a wait. */
+  readonly mayOverflow: boolean;
 }
 
 export interface TargetChoiceOptions {
@@ -43,29 +45,40 @@
   readonly ownRegion: string;
   /** Whether a failure domain is being emptied. */
   readonly isEvacuated: (failureDomain: string) => boolean;
+  readonly placement: RegionPlacement;
+  /** The way to a target's failure domain and back, in milliseconds. */
+  readonly roundTripMilliseconds: (target: TargetState) => number;
+  readonly leftOut: LeftOut;
+}
+
+/** A target that a request may go to, and when its answer is expected there. */
+interface Candidate {
+  readonly target: TargetState;
+  readonly milliseconds: number;
+  /** Requests for each slot from which the target does not take it. */
+  readonly mostLoadPerSlot: number;
 }
 
 /**
- * Chooses targets by affinity with bounded load. Every entry host ranks a key's targets the same
- * way, so that an object is known at the few that serve it; the nearer of these comes first while
- * it has room. Others are used only while they have little to do.
+ * Chooses the target that is expected to answer first, by way, wait and work, among the few that
+ * know the object or are to know it. Every entry host ranks a key's targets the same way, so that
+ * they agree on these without a message.
  */
 export class TargetChoice {
   readonly #options: TargetChoiceOptions;
   readonly #targets: ReadonlyMap<string, TargetState>;
-  readonly #ranks = new Map<string, TargetState[]>();
-  #members: TargetState[] = [];
+  readonly #order: KeyOrder;
 
   constructor(targets: ReadonlyMap<string, TargetState>, options: TargetChoiceOptions) {
     this.#targets = targets;
     this.#options = options;
+    this.#order = new KeyOrder((target) => this.#regionOf(target));
     this.membersChanged();
   }
 
   /** Targets came or went: ranks are made anew. */
   membersChanged(): void {
-    this.#members = [...this.#targets.values()];
-    this.#ranks.clear();
+    this.#order.setMembers([...this.#targets.values()]);
   }
 
   /**
@@ -78,95 +91,158 @@
     now: number,
     mayUseCold: (target: TargetState) => boolean,
   ): TargetState | undefined {
-    const usable = this.#usable(demand);
-    const warm = usable.filter((target) => !target.isCold(now));
-    const ranked = warm.filter((target) => !target.isEjected(now));
-    const sound = demand.staysNear ? this.#nearFirst(ranked) : ranked;
-    const copies = this.#inOrder(sound.slice(0, COPIES), demand);
-    const others = sound.slice(COPIES, MOST_COPIES);
-    const familiar = others.filter((target) => target.isFamiliar(demand.key, now));
-    const isBelow = (bound: number) => (target: TargetState) => loadPerSlot(target, now) < bound;
+    const regions = this.#regionsFor(demand);
+    const ranks = this.#order.ranksOf(demand.key);
+    const candidates = this.#candidates(demand, regions, ranks, now);
+    if (candidates.length > 0) {
+      return this.#soonest(candidates, now) ?? this.#cold(demand, regions, now, mayUseCold);
+    }
+    const all = this.#order.allRanksOf(demand.key);
+    const more = this.#candidates(demand, regions, all, now);
     return (
-      copies.find(isBelow(FULL_LOAD_PER_SLOT)) ??
-      familiar.find(isBelow(FULL_LOAD_PER_SLOT)) ??
-      others.find(isBelow(SPILL_LOAD_PER_SLOT)) ??
-      leastLoaded([...copies, ...familiar], demand, now) ??
-      usable.find((target) => target.isCold(now) && !target.isEjected(now) && mayUseCold(target)) ??
-      (sound.length === 0 ? leastLoaded(warm, demand, now) : undefined)
+      this.#soonest(more, now) ??
+      this.#cold(demand, regions, now, mayUseCold) ??
+      this.#leastLoadedOfAny(demand, regions, now)
     );
   }
 
-  /** The nearer copies first, or the farther ones where these are to be kept in use. */
-  #inOrder(copies: readonly TargetState[], { prefersSecond }: TargetDemand): TargetState[] {
-    const ordered = this.#nearFirst(copies);
-    return prefersSecond ? ordered.reverse() : ordered;
+  /** Regions in the order in which they are preferred. */
+  #regionsFor({ key, homeRegions, staysNear }: TargetDemand): string[] {
+    const { placement, ownRegion } = this.#options;
+    const order = placement.orderOf(key);
+    const allowed = order.filter(
+      (region) => homeRegions.length === 0 || homeRegions.includes(region),
+    );
+    return staysNear && allowed.includes(ownRegion)
+      ? [ownRegion, ...allowed.filter((region) => region !== ownRegion)]
+      : allowed;
   }
 
-  #nearFirst(targets: readonly TargetState[]): TargetState[] {
-    const isNear = (target: TargetState): boolean =>
-      this.#regionOf(target) === this.#options.ownRegion;
-    return [...targets.filter(isNear), ...targets.filter((target) => !isNear(target))];
+  /**
+   * The first sound targets of the preferred region, and the first one of each other region where
+   * the object is known. The others are tried only where the preferred region has none.
+   */
+  #candidates(
+    demand: TargetDemand,
+    regions: readonly string[],
+    ranks: KeyRanks,
+    now: number,
+  ): Candidate[] {
+    const candidates: Candidate[] = [];
+    for (const region of regions) {
+      const sound = (ranks.get(region) ?? []).filter((target) =>
+        this.#isSound(target, demand, now),
+      );
+      const isPreferred = candidates.length === 0;
+      const copies = this.#copies(isPreferred, demand);
+      for (const [place, target] of sound.slice(0, copies).entries()) {
+        const isPresumed = place === 0 && (isPreferred || this.#isKept(region, demand));
+        if (isPreferred || isPresumed) {
+          candidates.push(this.#candidate(target, demand, isPresumed, now));
+        }
+      }
+    }
+    return candidates;
   }
 
-  #isUsable(target: TargetState, { tried, homeRegions }: TargetDemand): boolean {
-    return (
-      !target.leaving &&
-      !tried.has(target.id) &&
-      !this.#options.isEvacuated(target.record.failureDomain) &&
-      (homeRegions.length === 0 || homeRegions.includes(this.#regionOf(target)))
-    );
+  #copies(isPreferred: boolean, { mayOverflow }: TargetDemand): number {
+    if (isPreferred) {
+      return this.#options.leftOut.has('second-copy') ? 1 : COPIES;
+    }
+    return mayOverflow && !this.#options.leftOut.has('other-regions') ? 1 : 0;
   }
 
-  #regionOf(target: TargetState): string {
-    return this.#options.regionOf(target.record.failureDomain);
+  /** Whether a region serves the key for its own callers, so that it is known there. */
+  #isKept(region: string, { key }: TargetDemand): boolean {
+    return this.#options.placement.isAtHome(region, key);
   }
 
-  /** The usable targets in the key's order; only the first of them where there are many. */
-  #usable(demand: TargetDemand): TargetState[] {
-    const isUsable = (target: TargetState): boolean => this.#isUsable(target, demand);
-    const first = this.#firstOf(demand.key);
-    const usable = first.filter(isUsable);
-    const suffices = usable.length >= KEPT_OF_RANK / 2 || first.length === this.#members.length;
-    return suffices ? usable : this.#rankOf(demand.key).filter(isUsable);
+  /** When an answer is expected: way, wait for a slot, and work, longer on an unknown object. */
+  #candidate(
+    target: TargetState,
+    demand: TargetDemand,
+    isPresumed: boolean,
+    now: number,
+  ): Candidate {
+    const { workMilliseconds: work = 1, key } = demand;
+    const extra = demand.extraMilliseconds ?? PRESUMED_EXTRA * work;
+    const isKnown = isPresumed || target.isFamiliar(key, now);
+    const { slots } = target.record;
+    const wait = (work / slots) * Math.max(0, this.#load(target, now) + 1 - slots);
+    const price = isKnown ? 0 : extra;
+    const preference = demand.prefersSecond && isPresumed ? TIE_MILLISECONDS : 0;
+    const way = this.#options.roundTripMilliseconds(target);
+    return {
+      target,
+      milliseconds: way + wait + work + price + preference,
+      mostLoadPerSlot: isKnown ? demand.mostLoadPerSlot : SPILL_LOAD_PER_SLOT,
+    };
   }
 
-  #rankOf(key: string): TargetState[] {
-    return rendezvousRank(key, this.#members, ({ id }) => id);
+  #soonest(candidates: readonly Candidate[], now: number): TargetState | undefined {
+    let best: Candidate | undefined;
+    for (const candidate of candidates) {
+      const { target, milliseconds, mostLoadPerSlot } = candidate;
+      const hasRoom = this.#load(target, now) < mostLoadPerSlot * target.record.slots;
+      if (hasRoom && (best === undefined || milliseconds < best.milliseconds)) {
+        best = candidate;
+      }
+    }
+    return best?.target;
   }
 
-  #firstOf(key: string): TargetState[] {
-    const known = this.#ranks.get(key);
-    if (known !== undefined) {
-      return known;
-    }
-    if (this.#ranks.size >= MOST_CACHED_RANKS) {
-      this.#ranks.delete(this.#ranks.keys().next().value ?? '');
-    }
-    const first = this.#rankOf(key).slice(0, KEPT_OF_RANK);
-    this.#ranks.set(key, first);
-    return first;
+  #cold(
+    demand: TargetDemand,
+    regions: readonly string[],
+    now: number,
+    mayUseCold: (target: TargetState) => boolean,
+  ): TargetState | undefined {
+    const isCold = (target: TargetState): boolean =>
+      this.#isUsable(target, demand) && target.isCold(now) && !target.isEjected(now);
+    return this.#inOrder(demand, regions).find((target) => isCold(target) && mayUseCold(target));
   }
-}
 
-/** Requests, running and waiting, for each slot. */
-function loadPerSlot(target: TargetState, now: number): number {
-  return target.load(now) / target.record.slots;
-}
+  /** Where all fail, one of them is tried: most of a service failing is rather a fault elsewhere. */
+  #leastLoadedOfAny(
+    demand: TargetDemand,
+    regions: readonly string[],
+    now: number,
+  ): TargetState | undefined {
+    const failing = this.#inOrder(demand, regions).filter(
+      (target) => this.#isUsable(target, demand) && !target.isCold(now),
+    );
+    return this.#soonest(
+      failing.map((target) => ({
+        target,
+        milliseconds: this.#load(target, now),
+        mostLoadPerSlot: demand.mostLoadPerSlot,
+      })),
+      now,
+    );
+  }
 
-/** The target with the fewest requests for each slot, if they are fewer than is allowed. */
-function leastLoaded(
-  targets: readonly TargetState[],
-  { mostLoadPerSlot }: TargetDemand,
-  now: number,
-): TargetState | undefined {
-  let best: TargetState | undefined;
-  let bestLoad = mostLoadPerSlot;
-  for (const target of targets) {
-    const load = loadPerSlot(target, now);
-    if (load < bestLoad) {
-      best = target;
-      bestLoad = load;
-    }
+  #inOrder({ key }: TargetDemand, regions: readonly string[]): TargetState[] {
+    const ranks = this.#order.allRanksOf(key);
+    return regions.flatMap((region) => ranks.get(region) ?? []);
+  }
+
+  #isSound(target: TargetState, demand: TargetDemand, now: number): boolean {
+    return this.#isUsable(target, demand) && !target.isCold(now) && !target.isEjected(now);
+  }
+
+  #isUsable(target: TargetState, { tried }: TargetDemand): boolean {
+    return (
+      !target.leaving &&
+      !tried.has(target.id) &&
+      !this.#options.isEvacuated(target.record.failureDomain)
+    );
+  }
+
+  #load(target: TargetState, now: number): number {
+    return target.load(now, this.#options.leftOut);
+  }
+
+  #regionOf(target: TargetState): string {
+    return this.#options.regionOf(target.record.failureDomain);
   }
-  return best;
 }
--- a/packages/routing/src/target-state.ts
+++ b/packages/routing/src/target-state.ts
@@ -1,3 +1,5 @@
+import type { LeftOut } from './mechanisms.js';
+import { NOTHING_LEFT_OUT } from './mechanisms.js';
 import type { TargetRecord } from './target-record.js';
 
 /** How long a load that the target itself told is taken as a lower bound of the present one. */
@@ -64,12 +66,15 @@
   }
 
   /** Requests that it probably has now, running and waiting. */
-  load(now: number): number {
+  load(now: number, leftOut: LeftOut = NOTHING_LEFT_OUT): number {
     let counted = this.inFlight;
-    for (const count of this.othersInFlight.values()) {
-      counted += count;
+    if (!leftOut.has('peer-load')) {
+      for (const count of this.othersInFlight.values()) {
+        counted += count;
+      }
     }
-    const isFresh = now - this.#reportedAt < LOAD_REPORT_LIFE_MILLISECONDS;
+    const isTold = !leftOut.has('told-load');
+    const isFresh = isTold && now - this.#reportedAt < LOAD_REPORT_LIFE_MILLISECONDS;
     return isFresh ? Math.max(counted, this.#reportedLoad) : counted;
   }
 
--- /dev/null
+++ b/packages/routing/tests/region-placement.test.ts
@@ -0,0 +1,121 @@
+import { describe, expect, it } from 'vitest';
+import { NOTHING_LEFT_OUT, RegionPlacement } from '../src/index.js';
+import type { LeftOut, RegionRoom } from '../src/index.js';
+
+const KEYS = Array.from({ length: 2_000 }, (_, index) => `object-${index}`);
+interface Options {
+  readonly mostStepPerSecond: number;
+  readonly leftOut: LeftOut;
+}
+
+/** Targets in unequal numbers for callers who ask for as much in each region. */
+const UNEQUAL: readonly RegionRoom[] = [
+  { region: 'small', slots: 10, work: undefined },
+  { region: 'middle', slots: 40, work: undefined },
+  { region: 'large', slots: 50, work: undefined },
+];
+/** Longer than the parts are taken as they come out. */
+const SETTLED = 5_000;
+
+function makePlacement(
+  ownRegion: string,
+  { mostStepPerSecond = 0.05, leftOut = NOTHING_LEFT_OUT }: Partial<Options> = {},
+): RegionPlacement {
+  return new RegionPlacement({ ownRegion, mostStepPerSecond, leftOut });
+}
+
+function withWork(work: Readonly<Record<string, number>>): RegionRoom[] {
+  return UNEQUAL.map((room) => ({ ...room, work: work[room.region] ?? 0 }));
+}
+
+function shareOf(placement: RegionPlacement, region: string): number {
+  return KEYS.filter((key) => placement.orderOf(key)[0] === region).length / KEYS.length;
+}
+
+describe('RegionPlacement', () => {
+  it('takes callers for equally demanding while nothing is known of them', () => {
+    const placement = makePlacement('small');
+    placement.update(UNEQUAL, 0);
+    expect(placement.homeShare('small')).toBeCloseTo(0.3);
+    expect(placement.homeShare('middle')).toBe(1);
+    expect(placement.homeShare('large')).toBe(1);
+  });
+
+  it('sends what a region cannot carry to the others in proportion to their room', () => {
+    const placement = makePlacement('small');
+    placement.update(UNEQUAL, 0);
+    expect(shareOf(placement, 'small')).toBeCloseTo(0.3, 1);
+    expect(shareOf(placement, 'middle') / shareOf(placement, 'large')).toBeCloseTo(
+      (40 - 100 / 3) / (50 - 100 / 3),
+      1,
+    );
+  });
+
+  it('gives each key the same order at all hosts of a region, whole and without repeats', () => {
+    const [one, other] = [makePlacement('small'), makePlacement('small')];
+    for (const placement of [one, other]) {
+      placement.update(UNEQUAL, 0);
+    }
+    for (const key of KEYS.slice(0, 200)) {
+      expect(one.orderOf(key)).toEqual(other.orderOf(key));
+      expect([...one.orderOf(key)].sort()).toEqual(['large', 'middle', 'small']);
+    }
+  });
+
+  it('keeps all keys at home while targets are comfortable', () => {
+    const placement = makePlacement('small');
+    placement.update(withWork({ small: 4, middle: 15, large: 15 }), 0);
+    expect(placement.homeShare('small')).toBe(1);
+  });
+
+  it('keeps as many keys as its targets carry at present demand', () => {
+    const placement = makePlacement('small');
+    placement.update(withWork({ small: 20, middle: 10, large: 10 }), 0);
+    expect(placement.homeShare('small')).toBeCloseTo(5 / 20);
+  });
+
+  it('fills regions evenly where all are busy', () => {
+    const placement = makePlacement('small');
+    placement.update(withWork({ small: 30, middle: 30, large: 30 }), 0);
+    expect(placement.homeShare('small')).toBeCloseTo((0.9 * 10) / 30);
+    expect(placement.homeShare('large')).toBe(1);
+  });
+
+  it('follows demand by no more than is allowed in a second, once it has settled', () => {
+    const placement = makePlacement('small', { mostStepPerSecond: 0.05 });
+    placement.update(withWork({ small: 4, middle: 4, large: 4 }), 0);
+    placement.update(withWork({ small: 4, middle: 4, large: 4 }), SETTLED);
+    placement.update(withWork({ small: 20, middle: 4, large: 4 }), SETTLED + 1_000);
+    expect(placement.homeShare('small')).toBeCloseTo(0.95);
+    placement.update(withWork({ small: 20, middle: 4, large: 4 }), SETTLED + 2_000);
+    expect(placement.homeShare('small')).toBeCloseTo(0.9);
+  });
+
+  it('moves few keys when demand moves a little', () => {
+    const placement = makePlacement('small', { mostStepPerSecond: 1 });
+    placement.update(withWork({ small: 20, middle: 20, large: 20 }), 0);
+    const before = KEYS.map((key) => placement.orderOf(key)[0]);
+    placement.update(withWork({ small: 22, middle: 20, large: 20 }), 1_000);
+    const moved = KEYS.filter((key, index) => placement.orderOf(key)[0] !== before[index]);
+    expect(moved.length / KEYS.length).toBeLessThan(0.06);
+  });
+
+  it('forgets a region whose targets are all gone', () => {
+    const placement = makePlacement('small');
+    placement.update(UNEQUAL, 0);
+    placement.update(
+      UNEQUAL.map((room) => (room.region === 'small' ? { ...room, slots: 0 } : room)),
+      1_000,
+    );
+    for (const key of KEYS.slice(0, 100)) {
+      expect([...placement.orderOf(key)].sort()).toEqual(['large', 'middle']);
+    }
+  });
+
+  it('spreads keys over all regions by their room where keys at home are left out', () => {
+    const placement = makePlacement('small', { leftOut: new Set(['keys-at-home']) });
+    placement.update(UNEQUAL, 0);
+    expect(shareOf(placement, 'small')).toBeCloseTo(0.1, 1);
+    expect(shareOf(placement, 'large')).toBeCloseTo(0.5, 1);
+  });
+});
--- /dev/null
+++ b/packages/routing/tests/service-targets.test.ts
@@ -0,0 +1,79 @@
+import { FakeClock, makeRoute, makeTargetRecord } from '@ferrylock/test-utils';
+import { describe, expect, it } from 'vitest';
+import { NOTHING_LEFT_OUT, ServiceTargets } from '../src/index.js';
+import type { TargetState } from '../src/index.js';
+
+const REGIONS: Record<string, string> = { 'aarhus-hal': 'jylland', 'odense-hal': 'fyn' };
+const KEYS = Array.from({ length: 400 }, (_, index) => `object-${index}`);
+
+function makeService(evacuated = '') {
+  const clock = new FakeClock();
+  const service = new ServiceTargets('verdict-api', {
+    clock,
+    retryBound: { ratio: 0.2, slack: 10, windowMilliseconds: 10_000 },
+    regionOf: (failureDomain) => REGIONS[failureDomain] ?? failureDomain,
+    ownRegion: 'jylland',
+    isEvacuated: (failureDomain) => failureDomain === evacuated,
+    shiftBound: { share: 0.15, windowMilliseconds: 2_000 },
+    leftOut: NOTHING_LEFT_OUT,
+  });
+  return { clock, service };
+}
+
+function addTargets(service: ServiceTargets, failureDomain: string, count: number): void {
+  for (let index = 0; index < count; index++) {
+    service.put(makeTargetRecord({ id: `${failureDomain}-${index}`, failureDomain }));
+  }
+}
+
+function choose(service: ServiceTargets, key: string): TargetState | undefined {
+  return service.choose({
+    route: makeRoute(),
+    key,
+    tried: new Set(),
+    leastUrgent: 0,
+    prefersSecond: false,
+    ownName: 'host-1',
+    coldSenders: ['host-1'],
+  });
+}
+
+function homeShareOf(service: ServiceTargets): number {
+  const near = KEYS.filter(
+    (key) => choose(service, key)?.record.failureDomain === 'aarhus-hal',
+  ).length;
+  return near / KEYS.length;
+}
+
+describe('ServiceTargets', () => {
+  it('keeps the part of the keys at home that the region’s slots allow', () => {
+    const { service } = makeService();
+    addTargets(service, 'aarhus-hal', 2);
+    addTargets(service, 'odense-hal', 6);
+    expect(homeShareOf(service)).toBeCloseTo(0.5, 1);
+  });
+
+  it('keeps more at home where callers of the region ask for less', async () => {
+    const { service, clock } = makeService();
+    addTargets(service, 'aarhus-hal', 2);
+    addTargets(service, 'odense-hal', 6);
+    const target = choose(service, 'object-1');
+    const answered = { route: makeRoute(), key: 'object-1', milliseconds: 100, loadPerSlot: 0 };
+    if (target !== undefined) {
+      service.recordAnswer(target, answered);
+    }
+    for (let second = 0; second < 20; second++) {
+      service.place((region) => (region === 'jylland' ? 10 : 40));
+      await clock.advance(1_000);
+    }
+    expect(homeShareOf(service)).toBe(1);
+  });
+
+  it('counts the slots of an emptied failure domain for nothing', () => {
+    const { service } = makeService('aarhus-hal');
+    addTargets(service, 'aarhus-hal', 4);
+    addTargets(service, 'odense-hal', 4);
+    service.place(() => undefined);
+    expect(homeShareOf(service)).toBe(0);
+  });
+});
