--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -1,4 +1,3 @@
-import { affinity } from './benches/affinity.js';
 import { capacity } from './benches/capacity.js';
 import { choice } from './benches/choice.js';
 import { drain } from './benches/drain.js';
@@ -13,7 +12,6 @@
 
 /** Every bench by its name on the command line. */
 export const benches: Readonly<Record<string, Bench>> = {
-  affinity,
   capacity,
   choice,
   drain,
