perf: idle connections are kept as long as their target keeps them

Change: the target's own time counts, less the transport's margin of 2 s; 4 s where it says nothing.

--- a/packages/entry/src/request/target-client.ts
+++ b/packages/entry/src/request/target-client.ts
@@ -3,8 +3,13 @@
 import { Agent, buildConnector } from 'undici';
 import type { Clock } from '@ferrylock/utils';
 
-/** Idle connections close before most targets would close them, so that none closes under a request. */
+/** How long an idle connection is kept at a target that does not say how long it keeps it. */
 const IDLE_MILLISECONDS = 4_000;
+/**
+ * Longest that an idle connection is kept, whatever its target says. Until then the target's own
+ * time counts, less the transport's margin of two seconds, so that none closes under a request.
+ */
+const LONGEST_IDLE_MILLISECONDS = 60_000;
 /** Several times the way between two regions and back; a silent target costs no more than this. */
 const CONNECT_TIMEOUT_MILLISECONDS = 300;
 
@@ -71,7 +76,7 @@
     connections: null,
     pipelining: 1,
     keepAliveTimeout: IDLE_MILLISECONDS,
-    keepAliveMaxTimeout: IDLE_MILLISECONDS,
+    keepAliveMaxTimeout: LONGEST_IDLE_MILLISECONDS,
     connect: this.#connect,
     headersTimeout: 0,
     bodyTimeout: 0,
