--- a/packages/bench/src/report.ts
+++ b/packages/bench/src/report.ts
@@ -1,3 +1,5 @@
+import { formatTable } from '@ferrylock/utils';
+
 /** One line of a bench: a way that was tried, or a size that was measured. */
 export type Row = Readonly<Record<string, string | number | boolean>>;
 
@@ -44,17 +46,7 @@
 export function formatRows(rows: readonly Row[]): string {
   const columns = [...new Set(rows.flatMap((row) => Object.keys(row)))];
   const cells = [columns, ...rows.map((row) => columns.map((column) => String(row[column] ?? '')))];
-  const widths = columns.map((_, index) =>
-    Math.max(...cells.map((line) => (line[index] ?? '').length)),
-  );
-  return cells
-    .map((line) =>
-      line
-        .map((cell, index) => cell.padEnd(widths[index] ?? 0))
-        .join('  ')
-        .trimEnd(),
-    )
-    .join('\n');
+  return formatTable(cells);
 }
 
 /** Targets as a table for people. */
--- a/packages/cli/src/text-output.ts
+++ b/packages/cli/src/text-output.ts
@@ -1,22 +1,5 @@
 import type { ChangeRecord, LookupResult, OperatorResult, ServiceMetric } from '@ferrylock/schema';
-
-/** Lines up cells in columns, the first row as a heading. */
-export function formatTable(rows: readonly (readonly string[])[]): string {
-  const widths: number[] = [];
-  for (const row of rows) {
-    row.forEach((cell, column) => {
-      widths[column] = Math.max(widths[column] ?? 0, cell.length);
-    });
-  }
-  return rows
-    .map((row) =>
-      row
-        .map((cell, column) => cell.padEnd(widths[column] ?? 0))
-        .join('  ')
-        .trimEnd(),
-    )
-    .join('\n');
-}
+import { formatTable } from '@ferrylock/utils';
 
 export function formatHosts(status: OperatorResult<'status'>): string {
   const rows = status.hosts.map((host) => [
--- a/packages/entry/src/peers/peer-exchange.ts
+++ b/packages/entry/src/peers/peer-exchange.ts
@@ -1,15 +1,13 @@
 import { BackgroundTasks } from '@ferrylock/utils';
-import type { Clock } from '@ferrylock/utils';
 import { z } from 'zod';
 import type { EventLog } from '../events.js';
 import type { EntryHostRecord } from '../fleet/fleet-record.js';
-import type { FleetView } from '../fleet/fleet-view.js';
-import type { HostStatus, RequestRates } from './host-status.js';
+import type { HostStatus } from './host-status.js';
 import { loadSource, MessageWriter } from './message-writer.js';
-import type { PeerLoads } from './peer-loads.js';
+import type { MessageWriterOptions } from './message-writer.js';
 import type { Digest, HostReport } from './peer-messages.js';
 import { DIGEST_METHOD, digestSchema, hostReportSchema, REPORT_METHOD } from './peer-messages.js';
-import type { HeardFrom, PeerTable } from './peer-table.js';
+import type { HeardFrom } from './peer-table.js';
 import { RelayPlan } from './relay-plan.js';
 import { ReportSocket } from './report-socket.js';
 import type { StoreAnswer } from './store-answers.js';
@@ -32,20 +30,9 @@
   z.object({ method: z.literal(DIGEST_METHOD), params: digestSchema }),
 ]);
 
-export interface PeerExchangeOptions {
-  readonly clock: Clock;
+export interface PeerExchangeOptions extends Omit<MessageWriterOptions, 'answers' | 'own'> {
   readonly events: EventLog;
-  readonly view: FleetView;
-  readonly peers: PeerTable;
-  readonly loads: PeerLoads;
   readonly changes: ViewExchange;
-  /** When the store last answered this host itself, in monotonic milliseconds. */
-  readonly storeAnsweredAt: () => number;
-  readonly isLeaving: () => boolean;
-  /** Part of this host's time in which it has work, from 0 to 1. */
-  readonly busyShare: () => number;
-  /** What this host's callers ask for. */
-  readonly asked: () => RequestRates;
 }
 
 /** What is needed once the own addresses are known. */
--- a/packages/experiment/src/experiment.ts
+++ b/packages/experiment/src/experiment.ts
@@ -1,9 +1,10 @@
-import type { LeftOut, Route, TargetState } from '@ferrylock/routing';
-import { jittered, pickOne, randomIndex, SeededRandom } from '@ferrylock/utils';
+import type { LeftOut, Route } from '@ferrylock/routing';
+import { randomIndex, SeededRandom } from '@ferrylock/utils';
 import type { Random } from '@ferrylock/utils';
+import type { Asked } from './caller-requests.js';
+import { CallerRequests } from './caller-requests.js';
 import { EmulatedHost, routeOf } from './emulated-host.js';
 import { EmulatedTarget } from './emulated-target.js';
-import type { TargetWork } from './emulated-target.js';
 import { Disruptions } from './disruptions.js';
 import type { Outcome } from './outcome.js';
 import { OutcomeCounter } from './outcome.js';
@@ -11,10 +12,6 @@
 import { VirtualTime } from './virtual-time.js';
 
 const MILLISECONDS_PER_SECOND = 1_000;
-/** Mean wait that a refused caller is told. */
-const RETRY_AFTER_MILLISECONDS = 400;
-/** Tries of a caller: the first, and one more after a refusal. */
-const MOST_TRIES = 2;
 
 export interface ExperimentOptions {
   readonly scenario: Scenario;
@@ -28,18 +25,6 @@
   readonly windows: readonly number[];
 }
 
-/** A caller's request with all its tries. */
-interface Asked {
-  readonly requestClass: string;
-  readonly settings: RequestClass;
-  readonly route: Route;
-  readonly key: string;
-  readonly region: string;
-  readonly askedAt: number;
-  tries: number;
-  refusals: number;
-}
-
 /** Plays a scenario: the product's decisions at every host against emulated targets and callers. */
 export class Experiment {
   readonly #scenario: Scenario;
@@ -49,6 +34,7 @@
   readonly #hosts = new Map<string, EmulatedHost[]>();
   readonly #routes: ReadonlyMap<string, Route>;
   readonly #counter: OutcomeCounter;
+  readonly #requests: CallerRequests;
   readonly #disruptions: Disruptions;
   readonly #leftOut: LeftOut;
 
@@ -60,6 +46,15 @@
     this.#routes = new Map(
       Object.keys(scenario.classes).map((name) => [name, routeOf(name, scenario)]),
     );
+    this.#requests = new CallerRequests({
+      scenario,
+      time: this.#time,
+      random: this.#random,
+      targets: this.#targets,
+      hostsOf: (region) => this.#hosts.get(region) ?? [],
+      counter: this.#counter,
+      leftOut,
+    });
     this.#addTargets();
     this.#disruptions = new Disruptions({
       scenario,
@@ -153,7 +148,7 @@
     }
     this.#time.after(wait, () => {
       this.#arriveNext(region, endAt);
-      this.#ask(this.#drawRequest(region));
+      this.#requests.ask(this.#drawRequest(region));
     });
   }
 
@@ -189,140 +184,6 @@
     return drawn;
   }
 
-  /** A caller's try reaches a host of its region. */
-  #ask(asked: Asked): void {
-    const host = pickOne(this.#random, this.#hosts.get(asked.region) ?? []);
-    asked.tries++;
-    this.#time.after(this.#scenario.deployment.toCallersMilliseconds, () => {
-      if (host === undefined) {
-        this.#refuse(asked);
-        return;
-      }
-      host.service(asked.settings.service).asked.record();
-      host.service(asked.settings.service).retries.recordRequest();
-      this.#tryTarget(asked, host, new Set());
-    });
-  }
-
-  #tryTarget(asked: Asked, host: EmulatedHost, tried: Set<string>): void {
-    const { route, key, settings } = asked;
-    const state = host.choose(settings.service, { route, key, tried });
-    if (state === undefined) {
-      this.#refuse(asked);
-      return;
-    }
-    tried.add(state.id);
-    this.#send(asked, host, state, tried);
-  }
-
-  #send(asked: Asked, host: EmulatedHost, state: TargetState, tried: Set<string>): void {
-    const target = this.#targets.get(state.id);
-    const way = this.#oneWay(host, target);
-    const sentAt = this.#time.now();
-    const loadPerSlot = state.load(sentAt) / state.record.slots;
-    state.inFlight++;
-    this.#counter.sends++;
-    this.#counter.sendsBetweenRegions += target?.options.region === host.region ? 0 : 1;
-    const work: TargetWork = {
-      key: asked.key,
-      ...this.#workOf(asked.settings),
-      onEnd: (wasKnown) => {
-        this.#counter.knownObjects += wasKnown ? 1 : 0;
-        this.#time.after(way, () => {
-          cancelTimeout();
-          state.inFlight--;
-          if (target !== undefined) {
-            state.recordLoad(target.load, this.#time.now());
-          }
-          const { route, key } = asked;
-          const milliseconds = this.#time.now() - sentAt;
-          const answered = { route, key, milliseconds, loadPerSlot };
-          host.service(asked.settings.service).recordAnswer(state, answered);
-          this.#answer(asked);
-        });
-      },
-    };
-    const cancelTimeout = this.#time.after(asked.settings.timeoutMilliseconds, () => {
-      state.inFlight--;
-      target?.cancel(work);
-      if (state.answeredAt < sentAt) {
-        this.#recordFailure(state);
-      }
-      this.#end(asked, undefined);
-    });
-    this.#time.after(way, () => {
-      if (target?.take(work) !== true) {
-        this.#time.after(way, () => {
-          cancelTimeout();
-          state.inFlight--;
-          this.#takeRefusal(asked, host, state, tried);
-        });
-      }
-    });
-  }
-
-  /** A target refused for lack of room, or is gone. */
-  #takeRefusal(asked: Asked, host: EmulatedHost, state: TargetState, tried: Set<string>): void {
-    const { service } = asked.settings;
-    if (this.#targets.get(state.id)?.isGone === true) {
-      this.#recordFailure(state);
-    } else {
-      state.recordShed(this.#time.now());
-    }
-    const hosts = this.#scenario.deployment.hosts;
-    const mayTry = tried.size < asked.route.mostAttempts;
-    if (mayTry && host.service(service).retries.tryTake(hosts)) {
-      this.#tryTarget(asked, host, tried);
-    } else {
-      this.#refuse(asked);
-    }
-  }
-
-  #recordFailure(state: TargetState): void {
-    if (!this.#leftOut.has('ejection')) {
-      state.recordFailure(this.#time.now());
-    }
-  }
-
-  #workOf(settings: RequestClass): Pick<TargetWork, 'knownMilliseconds' | 'unknownMilliseconds'> {
-    const { knownMilliseconds, unknownMilliseconds, spread } = settings;
-    const factor = 1 + spread * (this.#random.next() - 0.5) * Math.sqrt(12);
-    return {
-      knownMilliseconds: knownMilliseconds * factor,
-      unknownMilliseconds: unknownMilliseconds * factor,
-    };
-  }
-
-  #oneWay(host: EmulatedHost, target: EmulatedTarget | undefined): number {
-    const { inRegionMilliseconds, betweenRegionsMilliseconds } = this.#scenario.deployment;
-    return target?.options.region === host.region
-      ? inRegionMilliseconds
-      : betweenRegionsMilliseconds;
-  }
-
-  #refuse(asked: Asked): void {
-    asked.refusals++;
-    const wait = jittered(this.#random, RETRY_AFTER_MILLISECONDS);
-    const { toCallersMilliseconds } = this.#scenario.deployment;
-    const left = asked.askedAt + asked.settings.deadlineMilliseconds - this.#time.now();
-    if (asked.tries >= MOST_TRIES || wait + toCallersMilliseconds > left) {
-      this.#end(asked, undefined);
-      return;
-    }
-    this.#time.after(wait + toCallersMilliseconds, () => {
-      this.#ask(asked);
-    });
-  }
-
-  #answer(asked: Asked): void {
-    const { toCallersMilliseconds } = this.#scenario.deployment;
-    this.#end(asked, this.#time.now() + toCallersMilliseconds - asked.askedAt);
-  }
-
-  #end({ requestClass, region, askedAt, refusals }: Asked, milliseconds: number | undefined): void {
-    this.#counter.take({ requestClass, region, askedAt, milliseconds, refusals });
-  }
-
   /** All hosts tell what they have under way and are asked for. */
   #report(): void {
     const inFlight = new Map<string, number>();
--- a/packages/experiment/src/format-comparison.ts
+++ b/packages/experiment/src/format-comparison.ts
@@ -1,3 +1,4 @@
+import { formatTable } from '@ferrylock/utils';
 import type { Comparison } from './comparison.js';
 import { differences, spreadOf } from './comparison.js';
 import type { Outcome } from './outcome.js';
@@ -19,18 +20,7 @@
 
 /** Comparison as a table for people: means over the seeds, and the paired difference in worth. */
 export function formatComparison(comparison: Comparison): string {
-  const rows = rowsOf(comparison);
-  const widths = (rows[0] ?? []).map((_, column) =>
-    Math.max(...rows.map((row) => (row[column] ?? '').length)),
-  );
-  return rows
-    .map((row) =>
-      row
-        .map((cell, column) => cell.padEnd(widths[column] ?? 0))
-        .join('  ')
-        .trimEnd(),
-    )
-    .join('\n');
+  return formatTable(rowsOf(comparison));
 }
 
 /** The table's rows, its heading first. */
