fix: cold targets serve where a service has no others; callers are told to come back by the time of the work

Cause: read in the diff: a region whose targets are all cold left the order of regions, so that a service with cold targets alone refused everything; uploads that stay near counted as requests that leave their key's region. Change: such regions come last in the order; overflows are counted against the region that the request prefers; a refused caller is told the time in which a full target works off what it has, spread by half around it. The tests for cold targets and for uploads fail before.

--- a/packages/entry/src/request/answer-writer.ts
+++ b/packages/entry/src/request/answer-writer.ts
@@ -10,7 +10,7 @@
 import type { RequestMetrics } from './request-metrics.js';
 import type { TargetAnswer } from './target-client.js';
 
-/** Mean wait that a refused caller is told: several answers' time, so that slots have come free. */
+/** Mean wait that a refused caller is told where nothing tells a better one. */
 const RETRY_AFTER_SECONDS = 0.4;
 
 export interface AnswerWriterOptions {
@@ -79,7 +79,8 @@
     const { requestId = exchange.demand.requestId, route, version } = exchange;
     const milliseconds = clock.now() - exchange.arrivedAt;
     metrics.recordRefusal(route?.kind ?? 'none', `${refusal.reason}/${refusal.ran}`, milliseconds);
-    const retryAfterSeconds = refusal.retryAfterSeconds ?? jittered(random, RETRY_AFTER_SECONDS);
+    const mean = refusal.retryAfterSeconds ?? RETRY_AFTER_SECONDS;
+    const retryAfterSeconds = jittered(random, mean);
     sendRefusal(
       exchange,
       refusal.ran === 'no' ? { ...refusal, retryAfterSeconds } : refusal,
--- a/packages/entry/src/request/refusal.ts
+++ b/packages/entry/src/request/refusal.ts
@@ -28,7 +28,7 @@
   readonly detail: string;
   /** `no` only where it is certain that no target has run it or will. */
   readonly ran: 'no' | 'unknown';
-  /** When it makes sense to ask again. */
+  /** When it makes sense to ask again, on average: callers are spread around it. */
   readonly retryAfterSeconds?: number;
 }
 
--- a/packages/entry/src/request/request-forwarder.ts
+++ b/packages/entry/src/request/request-forwarder.ts
@@ -18,6 +18,7 @@
 
 /** Deadline of a caller that names none: the route's own timeout ends it sooner. */
 const NO_DEADLINE = Infinity;
+const MILLISECONDS_PER_SECOND = 1_000;
 /** What a caller is told whose body did not come whole; one that is gone is told nothing. */
 const BODY_REFUSALS = {
   'too-large': 'too-large',
@@ -205,12 +206,22 @@
     }
     const { outcome } = progress;
     if ('reason' in outcome) {
-      answers.refuse(exchange, outcome, progress.attempts);
+      answers.refuse(exchange, this.#withReturn(outcome, journey), progress.attempts);
     } else {
       answers.deliver(exchange, outcome, this.#originOf(journey, undefined));
     }
   }
 
+  /** Adds when a caller may come back that was refused for lack of room. */
+  #withReturn(refusal: Refusal, { exchange: { route }, service }: Journey): Refusal {
+    const leastUrgent = this.#options.state.active?.leastUrgent ?? route.priority;
+    const clearing = service.clearingMilliseconds(route, leastUrgent);
+    const isForRoom = refusal.reason === 'overload' || refusal.reason === 'target-refused';
+    return isForRoom && clearing !== undefined
+      ? { ...refusal, retryAfterSeconds: clearing / MILLISECONDS_PER_SECOND }
+      : refusal;
+  }
+
   #originOf({ progress }: Journey, target: TargetState | undefined) {
     const load = target?.load(this.#options.clock.now()) ?? 0;
     return { target: target?.id ?? '', load, attempts: progress.attempts };
--- a/packages/routing/src/region-placement.ts
+++ b/packages/routing/src/region-placement.ts
@@ -53,6 +53,8 @@
   #updatedAt = -Infinity;
   #isMeasured = false;
   #rooms: readonly RegionRoom[] = [];
+  /** Regions of which no target counts now. */
+  #absent: readonly string[] = [];
 
   constructor(options: RegionPlacementOptions) {
     this.#options = options;
@@ -60,7 +62,7 @@
 
   /** Whether no region is known yet. */
   get isEmpty(): boolean {
-    return this.#parts.size === 0;
+    return this.#rooms.length === 0;
   }
 
   /** What was decided for each region last, and by what. */
@@ -83,8 +85,15 @@
     return positionOf(key) < this.homeShare(region);
   }
 
-  /** Regions in the order in which the key's requests prefer them. */
+  /**
+   * Regions in the order in which the key's requests prefer them; those come last whose targets
+   * cannot be used, or are all cold.
+   */
   orderOf(key: string): string[] {
+    return [...this.#presentOrderOf(key), ...this.#absent];
+  }
+
+  #presentOrderOf(key: string): string[] {
     const { ownRegion, leftOut } = this.#options;
     const ranked = [...this.#parts.keys()]
       .map((region) => ({ region, rank: this.#rankOf(region, key) }))
@@ -107,6 +116,7 @@
     const step = isFirst && !isMeasured ? 1 : this.#options.mostStepPerSecond * seconds;
     this.#updatedAt = now;
     this.#rooms = rooms;
+    this.#absent = rooms.filter(({ slots }) => slots === 0).map(({ region }) => region);
     for (const region of [...this.#parts.keys()]) {
       if (!rooms.some((room) => room.region === region && room.slots > 0)) {
         this.#parts.delete(region);
--- a/packages/routing/src/service-targets.ts
+++ b/packages/routing/src/service-targets.ts
@@ -12,6 +12,7 @@
 import type { ShiftBound } from './shift-bound.js';
 import { RoundTrips } from './round-trips.js';
 import type { Route, RoutedService } from './route-configuration.js';
+import type { PlacedDemand } from './target-choice.js';
 import { TargetChoice } from './target-choice.js';
 import type { TargetRecord } from './target-record.js';
 import { TargetState } from './target-state.js';
@@ -140,19 +141,32 @@
         hosts: coldSenders,
       }),
     );
-    this.#countOverflow(key, chosen);
+    this.#countOverflow(demand, chosen);
     return chosen;
   }
 
-  #countOverflow(key: string, chosen: TargetState | undefined): void {
+  /** Counts requests that leave the region that they prefer. */
+  #countOverflow(demand: PlacedDemand, chosen: TargetState | undefined): void {
     const { regionOf } = this.#options;
     const region = chosen === undefined ? undefined : regionOf(chosen.record.failureDomain);
     this.overflows.recordRequest();
-    if (region !== undefined && region !== this.placement.orderOf(key)[0]) {
+    if (region !== undefined && region !== this.choice.regionsFor(demand)[0]) {
       this.overflows.recordOverflow();
     }
   }
 
+  /**
+   * How long a target that is as full as it may be takes to work off what it has, in milliseconds: a
+   * caller that comes back then finds room, if no more come than before. Undefined before the first
+   * answer.
+   */
+  clearingMilliseconds(route: Route, leastUrgent: number): number | undefined {
+    const runMilliseconds = this.#run.value;
+    return runMilliseconds === undefined
+      ? undefined
+      : runMilliseconds * mostLoadPerSlot({ route, runMilliseconds, leastUrgent });
+  }
+
   /** Learns from an answer how long work takes, and that the target knows the object. */
   recordAnswer(target: TargetState, answered: TargetAnswered): void {
     const { route, key, milliseconds, loadPerSlot } = answered;
--- a/packages/routing/src/target-choice.ts
+++ b/packages/routing/src/target-choice.ts
@@ -34,6 +34,9 @@
   readonly mayOverflow: boolean;
 }
 
+/** What decides in which regions a request may be served. */
+export type PlacedDemand = Pick<TargetDemand, 'key' | 'homeRegions' | 'staysNear'>;
+
 export interface TargetChoiceOptions {
   /** Region of each failure domain. */
   readonly regionOf: (failureDomain: string) => string;
@@ -87,7 +90,7 @@
     now: number,
     mayUseCold: (target: TargetState) => boolean,
   ): TargetState | undefined {
-    const regions = this.#regionsFor(demand);
+    const regions = this.regionsFor(demand);
     const ranks = this.#order.ranksOf(demand.key);
     const candidates = this.#candidates(demand, regions, ranks, now);
     if (candidates.length > 0) {
@@ -103,7 +106,7 @@
   }
 
   /** Regions in the order in which they are preferred. */
-  #regionsFor({ key, homeRegions, staysNear }: TargetDemand): string[] {
+  regionsFor({ key, homeRegions, staysNear }: PlacedDemand): string[] {
     const { placement, ownRegion } = this.#options;
     const order = placement.orderOf(key);
     const allowed = order.filter(
--- a/packages/routing/tests/service-targets.test.ts
+++ b/packages/routing/tests/service-targets.test.ts
@@ -1,6 +1,6 @@
 import { FakeClock, makeRoute, makeTargetRecord } from '@ferrylock/test-utils';
 import { describe, expect, it } from 'vitest';
-import { NOTHING_LEFT_OUT, ServiceTargets } from '../src/index.js';
+import { mostLoadPerSlot, NOTHING_LEFT_OUT, ServiceTargets } from '../src/index.js';
 import type { TargetState } from '../src/index.js';
 
 const REGIONS: Record<string, string> = { 'aarhus-hal': 'jylland', 'odense-hal': 'fyn' };
@@ -75,4 +75,45 @@
     service.place(() => undefined);
     expect(homeShareOf(service)).toBe(0);
   });
+
+  it('uses cold targets where there are no others', async () => {
+    const { service, clock } = makeService();
+    const record = { id: 'cold', failureDomain: 'odense-hal', coldMilliseconds: 3_000 };
+    service.put(makeTargetRecord(record));
+    service.place(() => 10);
+    await clock.advance(1_000);
+    expect(choose(service, 'object-1')?.id).toBe('cold');
+  });
+
+  it('counts no request as leaving its region that is to stay near its caller', () => {
+    const { service } = makeService();
+    addTargets(service, 'aarhus-hal', 1);
+    addTargets(service, 'odense-hal', 9);
+    const route = makeRoute({ kind: 'upload' });
+    for (const key of KEYS) {
+      service.choose({
+        route,
+        key,
+        tried: new Set(),
+        leastUrgent: 0,
+        ownName: 'host-1',
+        coldSenders: ['host-1'],
+      });
+    }
+    expect(service.overflows.hasRoom).toBe(true);
+  });
+
+  it('tells callers to come back when a full target has worked off what it has', () => {
+    const { service } = makeService();
+    addTargets(service, 'aarhus-hal', 2);
+    const route = makeRoute();
+    expect(service.clearingMilliseconds(route, 0)).toBeUndefined();
+    const target = choose(service, 'object-1');
+    if (target === undefined) {
+      throw new Error('expected a target');
+    }
+    service.recordAnswer(target, { route, key: 'object-1', milliseconds: 100, loadPerSlot: 0 });
+    const most = mostLoadPerSlot({ route, runMilliseconds: 100, leastUrgent: 0 });
+    expect(service.clearingMilliseconds(route, 0)).toBeCloseTo(100 * most);
+  });
 });
