refactor: placement of keys has an owner in the entry host; leaving out ejection works there too

Change: ServiceTargets.recordFailure is what both call; PlacementDuty (with tests) sums what callers ask for. No change of behaviour while nothing is left out.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -17,7 +17,6 @@
 import { PeerExchange } from './peers/peer-exchange.js';
 import { PeerLoads } from './peers/peer-loads.js';
 import { PeerTable } from './peers/peer-table.js';
-import type { RequestRates } from './peers/host-status.js';
 import { ViewExchange } from './peers/view-exchange.js';
 import { AnswerWriter } from './request/answer-writer.js';
 import { BodyReader } from './request/body-reader.js';
@@ -25,7 +24,7 @@
 import { RequestForwarder } from './request/request-forwarder.js';
 import { RequestMetrics } from './request/request-metrics.js';
 import { TargetClient } from './request/target-client.js';
-import { sumDemand } from './routing/region-demand.js';
+import { PlacementDuty } from './routing/placement-duty.js';
 import { RoutingState } from './routing/routing-state.js';
 import { ControlServer } from './servers/control-server.js';
 import { FrontServer } from './servers/front-server.js';
@@ -34,8 +33,6 @@
 
 /** Time between two looks at what has fallen silent or vanished. */
 const SWEEP_MILLISECONDS = 100;
-/** Time between two looks at where keys are to be served; the parts move slowly anyway. */
-const PLACEMENT_MILLISECONDS = 400;
 /** Time between two summaries in the log. */
 const SUMMARY_MILLISECONDS = 5_000;
 /** Time between two looks at whether all requests in flight have ended. */
@@ -70,6 +67,7 @@
   readonly #health: StoreHealth;
   readonly #peers: PeerTable;
   readonly #loads: PeerLoads;
+  readonly #placement: PlacementDuty;
   readonly #peerClient = new PeerClient();
   readonly #client: TargetClient;
   readonly #changes: ViewExchange;
@@ -102,6 +100,14 @@
       storeReturnedAt: () => this.#health.returnedAt,
     });
     this.#loads = new PeerLoads(clock, this.state);
+    this.#placement = new PlacementDuty({
+      clock,
+      view,
+      peers: this.#peers,
+      state: this.state,
+      ownName: settings.name,
+      ownRegion: settings.region,
+    });
     const storeAnsweredAt = (): number => this.#health.answeredAt;
     this.#changes = new ViewExchange({
       ...options,
@@ -118,7 +124,7 @@
       loads: this.#loads,
       isLeaving: () => this.#isLeaving,
       busyShare: () => this.#busy.share,
-      asked: () => this.#asked(),
+      asked: () => this.#placement.asked,
     });
     this.#client = new TargetClient({
       clock,
@@ -306,7 +312,6 @@
   async #sweep(signal: AbortSignal): Promise<void> {
     const { clock, events } = this.#options;
     let before = clock.now();
-    let placedAt = -Infinity;
     while (!signal.aborted) {
       await clock.sleep(SWEEP_MILLISECONDS, signal);
       const now = clock.now();
@@ -320,34 +325,10 @@
       this.#loads.sweep();
       this.#health.recordConfirmation(this.view.confirmedAt);
       this.state.sweep();
-      if (now - placedAt >= PLACEMENT_MILLISECONDS) {
-        placedAt = now;
-        this.#place();
-      }
+      this.#placement.sweep();
     }
   }
 
-  /** What this host's callers ask for, by service. */
-  #asked(): RequestRates {
-    const rates = [...this.state.services].map(
-      ({ name, asked }) => [name, asked.perSecond] as const,
-    );
-    return Object.fromEntries(rates.filter(([, rate]) => rate > 0));
-  }
-
-  /** Decides anew which keys stay in which region, by what the callers of each region ask for. */
-  #place(): void {
-    const { name, region } = this.#options.settings;
-    const hosts = this.view.records('entryHost').map(({ host }) => host);
-    const regions = new Map([
-      ...hosts.map((host) => [host.name, host.region] as const),
-      [name, region],
-    ]);
-    const own = { name, asked: this.#asked() };
-    const demand = sumDemand([own, ...this.#peers.alive], regions);
-    this.state.place((service, place) => demand.of(service, place));
-  }
-
   async #summarise(signal: AbortSignal): Promise<void> {
     const { clock, events } = this.#options;
     let writtenAt = clock.now();
--- a/packages/entry/src/request/target-send.ts
+++ b/packages/entry/src/request/target-send.ts
@@ -108,7 +108,7 @@
     target.inFlight--;
     const now = clock.now();
     if (outcome.kind !== 'answered') {
-      return this.#judgeFailure(outcome.kind === 'not-sent', outcome.error, now);
+      return this.#judgeFailure(outcome.kind === 'not-sent', outcome.error);
     }
     const { answer } = outcome;
     const facts = dialect.readAnswer(answer.status, answer.headers);
@@ -135,30 +135,30 @@
     return { kind: 'answered', answer, facts };
   }
 
-  #judgeFailure(isUnsent: boolean, error: Error, now: number): SendVerdict {
+  #judgeFailure(isUnsent: boolean, error: Error): SendVerdict {
     const { target } = this.#options;
     if (this.#endedBy !== undefined) {
       if (this.#endedBy === 'deadline' && target.answeredAt < this.sentAt) {
-        this.#eject('no answer in time, and none since it was sent', now);
+        this.#eject('no answer in time, and none since it was sent');
       }
       return { kind: 'ended', cause: this.#endedBy, wasSent: !isUnsent };
     }
     if (isUnsent) {
-      this.#eject(error.message, now);
+      this.#eject(error.message);
       return { kind: 'not-run', reason: 'connect-failed', detail: error.message };
     }
     if (error instanceof StrayAnswer) {
       this.#distrust(error.message);
     } else {
-      this.#eject(error.message, now);
+      this.#eject(error.message);
     }
     return { kind: 'unknown', reason: 'target-failed', detail: error.message };
   }
 
   /** Keeps the target out of choice for a while. */
-  #eject(reason: string, now: number): void {
-    const { target } = this.#options;
-    const milliseconds = target.recordFailure(now);
+  #eject(reason: string): void {
+    const { service, target } = this.#options;
+    const milliseconds = service.recordFailure(target);
     this.#log('failing', `left alone for ${milliseconds} ms: ${reason}`);
   }
 
--- /dev/null
+++ b/packages/entry/tests/routing/placement-duty.test.ts
@@ -0,0 +1,77 @@
+import { FakeClock, makeRoute, makeTargetRecord } from '@ferrylock/test-utils';
+import { describe, expect, it } from 'vitest';
+import { FleetView } from '../../src/index.js';
+import { PeerTable } from '../../src/peers/peer-table.js';
+import { PlacementDuty } from '../../src/routing/placement-duty.js';
+import { hostChange, keepEvents, makeRoutingState, targetChange } from '../fixtures.js';
+
+/** This host in `jylland`, another in `fyn`, with targets in both. */
+function makeDuty() {
+  const clock = new FakeClock();
+  const { log } = keepEvents();
+  const view = new FleetView();
+  const state = makeRoutingState(clock, view, log);
+  const peers = new PeerTable(clock, log, () => undefined);
+  view.replace(1, [
+    hostChange(1, { name: 'host-1', region: 'jylland' }),
+    hostChange(1, { name: 'host-2', region: 'fyn' }),
+    targetChange(1, { id: 'a', failureDomain: 'jylland' }),
+    targetChange(1, { id: 'b', failureDomain: 'fyn' }),
+    targetChange(1, { id: 'c', failureDomain: 'fyn' }),
+    targetChange(1, { id: 'd', failureDomain: 'fyn' }),
+  ]);
+  const duty = new PlacementDuty({
+    clock,
+    view,
+    peers,
+    state,
+    ownName: 'host-1',
+    ownRegion: 'jylland',
+  });
+  const service = state.service(makeTargetRecord().service);
+  if (service === undefined) {
+    throw new Error('expected the targets’ service');
+  }
+  return { clock, peers, duty, service };
+}
+
+describe('PlacementDuty', () => {
+  it('tells what callers ask of each service, and nothing of one that none asks', () => {
+    const { duty, service } = makeDuty();
+    expect(duty.asked).toEqual({});
+    service.asked.record();
+    expect(Object.keys(duty.asked)).toEqual([service.name]);
+  });
+
+  it('takes callers for equally demanding until it hears of any', () => {
+    const { duty, service } = makeDuty();
+    duty.sweep();
+    expect(service.placement.homeShare('jylland')).toBeCloseTo((6 * 2) / 24);
+    expect(service.placement.homeShare('fyn')).toBe(1);
+  });
+
+  it('counts what hosts of other regions are asked for', async () => {
+    const { clock, duty, peers, service } = makeDuty();
+    duty.sweep();
+    const target = service.targets.get('a');
+    if (target === undefined) {
+      throw new Error('expected a target');
+    }
+    service.recordAnswer(target, {
+      route: makeRoute(),
+      key: 'object-1',
+      milliseconds: 100,
+      loadPerSlot: 0,
+    });
+    for (let sequence = 1; sequence <= 40; sequence++) {
+      await clock.advance(500);
+      const status = { name: 'host-2', incarnation: 'first', sequence, leaving: false };
+      peers.take({ ...status, busyShare: 0, asked: { [service.name]: 60 } }, 'itself');
+      duty.sweep();
+    }
+    // Six busy slots of 18 in the other region, none here: all keys stay where they are asked for.
+    expect(service.placement.homeShare('jylland')).toBe(1);
+    const other = service.placement.parts.find(({ region }) => region === 'fyn');
+    expect(other?.work).toBeCloseTo(6);
+  });
+});
--- a/packages/experiment/src/caller-requests.ts
+++ b/packages/experiment/src/caller-requests.ts
@@ -1,4 +1,4 @@
-import type { LeftOut, Route, TargetState } from '@ferrylock/routing';
+import type { Route, TargetState } from '@ferrylock/routing';
 import { jittered, pickOne } from '@ferrylock/utils';
 import type { Random } from '@ferrylock/utils';
 import type { EmulatedHost } from './emulated-host.js';
@@ -31,7 +31,6 @@
   readonly targets: ReadonlyMap<string, EmulatedTarget>;
   readonly hostsOf: (region: string) => readonly EmulatedHost[];
   readonly counter: OutcomeCounter;
-  readonly leftOut: LeftOut;
 }
 
 /** Takes callers' requests through hosts and targets to their ends. */
@@ -99,7 +98,7 @@
       state.inFlight--;
       target?.cancel(work);
       if (state.answeredAt < sentAt) {
-        this.#recordFailure(state);
+        host.service(asked.settings.service).recordFailure(state);
       }
       this.#end(asked, undefined);
     });
@@ -118,7 +117,7 @@
   #takeRefusal(asked: Asked, host: EmulatedHost, state: TargetState, tried: Set<string>): void {
     const { service } = asked.settings;
     if (this.#options.targets.get(state.id)?.isGone === true) {
-      this.#recordFailure(state);
+      host.service(asked.settings.service).recordFailure(state);
     } else {
       state.recordShed(this.#options.time.now());
     }
@@ -131,12 +130,6 @@
     }
   }
 
-  #recordFailure(state: TargetState): void {
-    if (!this.#options.leftOut.has('ejection')) {
-      state.recordFailure(this.#options.time.now());
-    }
-  }
-
   #workOf(settings: RequestClass): Pick<TargetWork, 'knownMilliseconds' | 'unknownMilliseconds'> {
     const { knownMilliseconds, unknownMilliseconds, spread } = settings;
     const factor = 1 + spread * (this.#options.random.next() - 0.5) * Math.sqrt(12);
--- a/packages/experiment/src/experiment.ts
+++ b/packages/experiment/src/experiment.ts
@@ -53,7 +53,6 @@
       targets: this.#targets,
       hostsOf: (region) => this.#hosts.get(region) ?? [],
       counter: this.#counter,
-      leftOut,
     });
     this.#addTargets();
     this.#disruptions = new Disruptions({
--- a/packages/routing/src/service-targets.ts
+++ b/packages/routing/src/service-targets.ts
@@ -167,6 +167,16 @@
       : runMilliseconds * mostLoadPerSlot({ route, runMilliseconds, leastUrgent });
   }
 
+  /**
+   * A try brought no usable answer.
+   *
+   * @returns for how long the target is now left alone, in milliseconds
+   */
+  recordFailure(target: TargetState): number {
+    const { clock, leftOut } = this.#options;
+    return leftOut.has('ejection') ? 0 : target.recordFailure(clock.now());
+  }
+
   /** Learns from an answer how long work takes, and that the target knows the object. */
   recordAnswer(target: TargetState, answered: TargetAnswered): void {
     const { route, key, milliseconds, loadPerSlot } = answered;
