--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['**/dist/**', 'target/**', '**/node_modules/**'] },
+  { ignores: ['**/dist/**', 'target/**', '**/node_modules/**', 'platform/bundle/*.cjs'] },
   eslint.configs.recommended,
   ...tseslint.configs.strictTypeChecked,
   ...tseslint.configs.stylisticTypeChecked,
@@ -27,4 +27,5 @@
     ...tseslint.configs.disableTypeChecked,
   },
   { files: ['**/*.mjs'], languageOptions: { globals: { console: false, process: false } } },
+  { files: ['platform/**/*.js'], languageOptions: { globals: { URL: false } } },
 );
--- a/packages/entry/src/servers/control-server.ts
+++ b/packages/entry/src/servers/control-server.ts
@@ -5,6 +5,7 @@
 import { PEER_PATH } from '../peers/peer-client.js';
 import { DELTA_METHOD, deltaParamsSchema } from '../peers/peer-messages.js';
 import type { ViewExchange } from '../peers/view-exchange.js';
+import { WITHOUT_SCHEMAS } from './without-schemas.js';
 
 /** JSON-RPC 2.0: invalid method parameters. */
 const INVALID_PARAMS = -32_602;
@@ -21,7 +22,7 @@
   readonly #peerServer = new JSONRPCServer({ errorListener: () => undefined });
 
   constructor({ changes, metricsText }: ControlServerOptions) {
-    this.#app = Fastify({ logger: false });
+    this.#app = Fastify(WITHOUT_SCHEMAS);
     this.#peerServer.addMethod(DELTA_METHOD, (params: unknown) => {
       const parsed = deltaParamsSchema.safeParse(params);
       if (!parsed.success) {
--- a/packages/entry/src/servers/front-server.ts
+++ b/packages/entry/src/servers/front-server.ts
@@ -4,6 +4,7 @@
 import Fastify from 'fastify';
 import type { FastifyInstance } from 'fastify';
 import { splitAddress } from '../address.js';
+import { WITHOUT_SCHEMAS } from './without-schemas.js';
 
 /** Longest headers that are read at all, whatever a later configuration allows. */
 const LONGEST_HEADERS_BYTES = 64 * 1024;
@@ -30,7 +31,7 @@
 
   constructor(options: FrontServerOptions) {
     this.#app = Fastify({
-      logger: false,
+      ...WITHOUT_SCHEMAS,
       requestTimeout: 0,
       keepAliveTimeout: FIRST_IDLE_MILLISECONDS,
       forceCloseConnections: false,
