--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -1,6 +1,7 @@
 import { capacity } from './benches/capacity.js';
 import { choice } from './benches/choice.js';
 import { drain } from './benches/drain.js';
+import { fleetCost } from './benches/fleet-cost.js';
 import { limits } from './benches/limits.js';
 import { lookup } from './benches/lookup.js';
 import { membership } from './benches/membership.js';
@@ -15,6 +16,7 @@
   capacity,
   choice,
   drain,
+  'fleet-cost': fleetCost,
   limits,
   lookup,
   membership,
--- /dev/null
+++ b/packages/bench/src/fleet/bench-headers.ts
@@ -0,0 +1,43 @@
+import type { IncomingHttpHeaders } from 'node:http';
+import type { AnswerFacts, CallerDemand, HeaderDialect, TargetInstruction } from '@ferrylock/entry';
+
+/** Headers of the benches' own callers and targets. */
+export const REQUEST_ID = 'request-id';
+export const OBJECT = 'request-object';
+const DEADLINE = 'request-deadline';
+const TARGET = 'request-target';
+export const SIGNED = 'answer-signed';
+
+/** How the benches' callers and targets say what they mean. */
+export class BenchHeaders implements HeaderDialect {
+  readDemand(headers: IncomingHttpHeaders): CallerDemand {
+    return {
+      requestId: text(headers[REQUEST_ID]),
+      deadlineMilliseconds: undefined,
+      affinityKey: text(headers[OBJECT]),
+    };
+  }
+
+  instruct({ deadlineMilliseconds, targetId }: TargetInstruction): Record<string, string> {
+    return { [DEADLINE]: String(deadlineMilliseconds), [TARGET]: targetId };
+  }
+
+  readAnswer(_status: number, headers: IncomingHttpHeaders): AnswerFacts {
+    return {
+      requestId: text(headers[REQUEST_ID]),
+      isNotRun: false,
+      isOtherTarget: false,
+      isSigned: headers[SIGNED] !== undefined,
+      load: undefined,
+      coldMilliseconds: undefined,
+    };
+  }
+
+  ownAnswerHeaders(requestId: string | undefined): Record<string, string> {
+    return requestId === undefined ? {} : { [REQUEST_ID]: requestId };
+  }
+}
+
+function text(header: string | string[] | undefined): string | undefined {
+  return typeof header === 'string' ? header : undefined;
+}
--- a/packages/entry/src/busy-meter.ts
+++ b/packages/entry/src/busy-meter.ts
@@ -1,7 +1,7 @@
 import { performance } from 'node:perf_hooks';
 
-/** Weight of the newest sample: at ten samples a second, the last second counts most. */
-const SAMPLE_WEIGHT = 0.15;
+/** Weight of the newest sample: at five samples a second, the last second counts most. */
+const SAMPLE_WEIGHT = 0.28;
 
 /** Time that the event loop has been idle and active so far; a type of Node.js, in milliseconds. */
 export type LoopTimes = Pick<
@@ -28,7 +28,7 @@
     return this.#share;
   }
 
-  /** To be called some ten times a second. */
+  /** To be called some five times a second. */
   sample(): void {
     const times = this.#read();
     const active = times.active - this.#last.active;
--- a/packages/entry/src/directory.ts
+++ b/packages/entry/src/directory.ts
@@ -67,7 +67,7 @@
       return hosts;
     }
     const bound = this.#largeOnly.has(region) ? LEAVE_SHARE : ENTER_SHARE;
-    const fits = work(hosts) <= bound * capacity(large);
+    const fits = this.#work(hosts) <= bound * capacity(large);
     if (fits && large.length >= FEWEST_LARGE) {
       this.#largeOnly.add(region);
       return large;
@@ -86,11 +86,16 @@
     });
     return self === undefined ? others : [self, ...others];
   }
-}
 
-/** Cores that the hosts' work takes up. */
-function work(hosts: readonly DirectoryHost[]): number {
-  return hosts.reduce((sum, { host, busyShare }) => sum + busyShare * host.capacity, 0);
+  /** Cores that the hosts' work takes up: as relays tell it, or summed up from what hosts tell. */
+  #work(hosts: readonly DirectoryHost[]): number {
+    const regions = [...new Set(hosts.map(({ host }) => host.region))];
+    const told = regions.map((region) => this.#options.peers.toldRegion(region)?.work);
+    if (told.every((work) => work !== undefined)) {
+      return told.reduce((sum, work) => sum + work, 0);
+    }
+    return hosts.reduce((sum, { host, busyShare }) => sum + busyShare * host.capacity, 0);
+  }
 }
 
 function capacity(hosts: readonly DirectoryHost[]): number {
--- a/packages/entry/src/fleet/fleet-view.ts
+++ b/packages/entry/src/fleet/fleet-view.ts
@@ -27,6 +27,8 @@
   /** When the store is known to have held nothing newer, in monotonic milliseconds. */
   confirmedAt = -Infinity;
   readonly #latest = new Map<string, FleetChange>();
+  /** What was asked for of each kind, until a record of the kind changes. */
+  readonly #records = new Map<FleetRecord['kind'], readonly FleetRecord[]>();
   readonly #history: FleetChange[] = [];
   /** The history reaches back to the changes after this revision. */
   #historyAfter = 0;
@@ -41,11 +43,19 @@
     return [...this.#latest.values()].filter(({ record }) => record !== undefined);
   }
 
-  records<Kind extends FleetRecord['kind']>(kind: Kind): Extract<FleetRecord, { kind: Kind }>[] {
+  /** Everything of a kind; the same array while nothing of the kind changes. */
+  records<Kind extends FleetRecord['kind']>(
+    kind: Kind,
+  ): readonly Extract<FleetRecord, { kind: Kind }>[] {
+    type Wanted = Extract<FleetRecord, { kind: Kind }>;
+    const known = this.#records.get(kind);
+    if (known !== undefined) {
+      return known as readonly Wanted[];
+    }
     const records = [...this.#latest.values()].map(({ record }) => record);
-    return records.filter(
-      (record): record is Extract<FleetRecord, { kind: Kind }> => record?.kind === kind,
-    );
+    const wanted = records.filter((record): record is Wanted => record?.kind === kind);
+    this.#records.set(kind, wanted);
+    return wanted;
   }
 
   /** Calls back after each step forward, with the changes that were new. */
@@ -104,6 +114,7 @@
 
   #take(news: readonly FleetChange[]): void {
     for (const change of news) {
+      this.#forgetRecords(this.#latest.get(change.key)?.record, change.record);
       this.#latest.set(change.key, change);
       this.#history.push(change);
       this.lastChange = Math.max(this.lastChange, change.revision);
@@ -113,6 +124,15 @@
     }
   }
 
+  /** The records of these kinds are put together anew when they are asked for. */
+  #forgetRecords(...changed: readonly (FleetRecord | undefined)[]): void {
+    for (const record of changed) {
+      if (record !== undefined) {
+        this.#records.delete(record.kind);
+      }
+    }
+  }
+
   #notify(news: readonly FleetChange[]): void {
     if (news.length > 0) {
       for (const listener of this.#listeners) {
--- a/packages/entry/src/fleet/host-registration.ts
+++ b/packages/entry/src/fleet/host-registration.ts
@@ -41,6 +41,11 @@
     }
   }
 
+  /** Renews it no longer; it lasts until its lease ends. */
+  async close(): Promise<void> {
+    await this.#tasks.stop();
+  }
+
   async #run(signal: AbortSignal): Promise<void> {
     const { clock, random } = this.#options;
     while (!signal.aborted) {
--- a/packages/entry/src/fleet/store-watch.ts
+++ b/packages/entry/src/fleet/store-watch.ts
@@ -14,7 +14,7 @@
 /** Pause after changes, so that those made in quick succession come in one answer. */
 const GATHER_MILLISECONDS = 20;
 /** Pause of a host that leaves the watching to others, before it looks again. */
-const IDLE_MILLISECONDS = 100;
+const IDLE_MILLISECONDS = 250;
 /** First pause after a failed call. */
 const RETRY_MILLISECONDS = 250;
 
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -18,7 +18,12 @@
   FleetStoreFailure,
   HostLease,
 } from './fleet/fleet-store.js';
+export { FleetMember } from './fleet-member.js';
+export type { FleetMemberOptions } from './fleet-member.js';
 export { FleetView } from './fleet/fleet-view.js';
+export type { Datagrams, OpenDatagrams } from './peers/datagrams.js';
+export type { PeerCalls } from './peers/peer-calls.js';
+export { deltaResultSchema } from './peers/peer-messages.js';
 export type {
   AnswerFacts,
   CallerDemand,
@@ -26,3 +31,4 @@
   TargetInstruction,
 } from './request/dialect.js';
 export { passOnHeaders } from './request/pass-on-headers.js';
+export { WITHOUT_SCHEMAS } from './servers/without-schemas.js';
--- a/packages/entry/src/peers/host-status.ts
+++ b/packages/entry/src/peers/host-status.ts
@@ -2,6 +2,11 @@
 import { decodeRows, encodeRows } from './rows.js';
 
 const PERCENT = 100;
+/**
+ * Digits after the point of a rate. In a large fleet a host has less than one request a second of a
+ * service: rounded to whole ones, what its region asks for came out as nothing or as too much.
+ */
+const RATE_DIGITS = 2;
 const LEAVING = '1';
 const STAYING = '0';
 
@@ -43,7 +48,7 @@
       sequence,
       leaving ? LEAVING : STAYING,
       Math.round(busyShare * PERCENT),
-      ...Object.entries(asked).flatMap(([service, rate]) => [service, Math.round(rate)]),
+      ...fieldsOfRates(asked),
     ]),
   );
 }
@@ -60,11 +65,16 @@
   };
 }
 
+/** Services and their rates in turn, as {@link toRates} reads them. */
+export function fieldsOfRates(rates: RequestRates): string[] {
+  return Object.entries(rates).flatMap(([service, rate]) => [service, rate.toFixed(RATE_DIGITS)]);
+}
+
 /** Services and their rates in turn. */
-function toRates(fields: readonly string[]): RequestRates {
+export function toRates(fields: readonly string[]): RequestRates {
   const rates: Record<string, number> = {};
   for (let index = 0; index < fields.length; index += 2) {
-    rates[fields[index] ?? ''] = Number.parseInt(fields[index + 1] ?? '', 10);
+    rates[fields[index] ?? ''] = Number.parseFloat(fields[index + 1] ?? '');
   }
   return rates;
 }
--- a/packages/entry/src/peers/message-writer.ts
+++ b/packages/entry/src/peers/message-writer.ts
@@ -7,13 +7,15 @@
 import type { InFlight } from './in-flight.js';
 import { encodeInFlight } from './in-flight.js';
 import type { PeerLoads } from './peer-loads.js';
-import type { Digest } from './peer-messages.js';
-import { DIGEST_METHOD, REPORT_METHOD } from './peer-messages.js';
+import { DIGEST_METHOD, FLEET_METHOD, REPORT_METHOD } from './peer-messages.js';
 import type { PeerTable } from './peer-table.js';
+import { encodeRows } from './rows.js';
 import type { StoreAnswers } from './store-answers.js';
+import type { ToldRegion } from './told-fleet.js';
+import { encodeRegions, encodeStarts, startOf } from './told-fleet.js';
 
 /** Changes that a digest carries at most: some 200 bytes each, and a datagram is to stay small. */
-const MOST_NEWS = 6;
+const MOST_NEWS = 12;
 
 export interface MessageWriterOptions {
   readonly clock: Clock;
@@ -51,6 +53,11 @@
     this.#options = options;
   }
 
+  /** Whether this host had requests at targets when the report began. */
+  get hasRequests(): boolean {
+    return Object.keys(this.#inFlight).length > 0;
+  }
+
   /** Begins a new report: what is written from now on tells of the present. */
   next(): void {
     this.#sequence++;
@@ -72,46 +79,82 @@
    * @param knownToAll - revision of a change that all who get it know
    */
   domainDigest(knownToAll: number): string {
-    const inFlight = this.#options.loads.sum(loadSource.isHost, this.#inFlight);
-    return this.#digest('domain', this.#ownDomainStatuses(), inFlight, knownToAll);
+    const { loads, own } = this.#options;
+    return this.#digest(DIGEST_METHOD, knownToAll, {
+      failureDomain: own.failureDomain,
+      statuses: encodeStatuses(this.#ownDomainStatuses()),
+      ...this.#knowledge(loads.sum(loadSource.isHost, this.#inFlight)),
+    });
   }
 
   /**
    * A relay's digest of the whole fleet, for its own failure domain.
    *
    * @param knownToAll - revision of a change that all who get it know
-   * @param tellsAll - whether to tell of the hosts of other failure domains too
+   * @param tellsLoads - whether those who get it have requests, which they send by targets' loads
    */
-  fleetDigest(knownToAll: number, tellsAll: boolean): string {
-    const { loads, peers } = this.#options;
-    const inFlight = loads.onlyBusy(loads.sum(loadSource.isPart, this.#inFlight));
-    const statuses = tellsAll ? [this.#ownStatus(), ...peers.alive] : this.#ownDomainStatuses();
-    return this.#digest('fleet', statuses, inFlight, knownToAll);
+  fleetDigest(knownToAll: number, tellsLoads: boolean): string {
+    const { loads } = this.#options;
+    const inFlight = tellsLoads ? loads.onlyBusy(loads.sum(loadSource.isPart, this.#inFlight)) : {};
+    const counted = tellsLoads ? this.#counted() : [];
+    return this.#digest(FLEET_METHOD, knownToAll, {
+      absent: encodeStarts(this.#absent()),
+      regions: encodeRegions(this.#regions()),
+      counted: encodeRows(counted),
+      ...this.#knowledge(inFlight),
+    });
   }
 
-  #digest(
-    scope: Digest['scope'],
-    statuses: readonly HostStatus[],
-    inFlight: InFlight,
-    knownToAll: number,
-  ): string {
-    const { name, failureDomain } = this.#options.own;
+  #digest(method: string, knownToAll: number, content: Record<string, unknown>): string {
     const news = this.#newsAfter(knownToAll);
     const params = {
-      from: name,
-      failureDomain,
-      scope,
-      statuses: encodeStatuses(statuses),
+      from: this.#options.own.name,
+      ...content,
       ...(news === undefined ? {} : { news }),
-      ...this.#knowledge(inFlight),
     };
-    return JSON.stringify(createJSONRPCNotification(DIGEST_METHOD, params));
+    return JSON.stringify(createJSONRPCNotification(method, params));
+  }
+
+  /** Registered hosts that take no callers, as this relay hears them. */
+  #absent(): string[] {
+    const { view, peers, own, isLeaving } = this.#options;
+    const takesCallers = (host: EntryHostRecord): boolean =>
+      host.name === own.name ? !isLeaving() : peers.takesCallers(host);
+    return view
+      .records('entryHost')
+      .flatMap(({ host }) => (takesCallers(host) ? [] : [startOf(host)]));
+  }
+
+  /** What hosts of each region are busy with and what their callers ask for. */
+  #regions(): Map<string, ToldRegion> {
+    const { view, peers, own } = this.#options;
+    const regions = new Map<string, { work: number; asked: Record<string, number> }>();
+    for (const { host } of view.records('entryHost')) {
+      const status = host.name === own.name ? this.#ownStatus() : peers.get(host.name);
+      const region = regions.get(host.region) ?? { work: 0, asked: {} };
+      regions.set(host.region, region);
+      region.work += (status?.busyShare ?? 0) * host.capacity;
+      for (const [service, rate] of Object.entries(status?.asked ?? {})) {
+        region.asked[service] = (region.asked[service] ?? 0) + rate;
+      }
+    }
+    return regions;
+  }
+
+  /** The last reports of those hosts of the own domain that have requests of their own. */
+  #counted(): [string, number][] {
+    const { loads } = this.#options;
+    const fellows = this.#ownDomainStatuses().filter(
+      ({ name }) => loads.of(loadSource.host(name)) !== undefined,
+    );
+    return fellows.map(({ name, sequence }) => [name, sequence]);
   }
 
   #knowledge(inFlight: InFlight): Record<string, unknown> {
-    const { view, answers } = this.#options;
+    const { view, answers, own } = this.#options;
     const { newest } = answers;
     return {
+      controlAddress: own.controlAddress,
       lastChange: view.lastChange,
       ...(newest === undefined ? {} : { storeAnswer: newest }),
       inFlight: encodeInFlight(inFlight),
--- a/packages/entry/src/peers/peer-client.ts
+++ b/packages/entry/src/peers/peer-client.ts
@@ -3,6 +3,7 @@
 import type { Result } from 'ts-results-es';
 import { Agent } from 'undici';
 import { z } from 'zod';
+import type { PeerCalls } from './peer-calls.js';
 import type { DeltaResult } from './peer-messages.js';
 import { DELTA_METHOD, deltaResultSchema } from './peer-messages.js';
 
@@ -19,14 +20,13 @@
 });
 
 /** Calls other entry hosts by JSON-RPC 2.0 over HTTP. */
-export class PeerClient {
+export class PeerClient implements PeerCalls {
   readonly #agent = new Agent({
     keepAliveTimeout: IDLE_MILLISECONDS,
     connect: { timeout: TIMEOUT_MILLISECONDS },
   });
   #nextId = 1;
 
-  /** What leads from a revision to the peer's. */
   async delta(address: string, afterRevision: number): Promise<Result<DeltaResult, string>> {
     const answer = await this.#call(address, DELTA_METHOD, { afterRevision });
     return answer.andThen((result) => {
--- a/packages/entry/src/peers/peer-exchange.ts
+++ b/packages/entry/src/peers/peer-exchange.ts
@@ -2,37 +2,50 @@
 import { z } from 'zod';
 import type { EventLog } from '../events.js';
 import type { EntryHostRecord } from '../fleet/fleet-record.js';
+import type { Datagrams, OpenDatagrams } from './datagrams.js';
 import type { HostStatus } from './host-status.js';
 import { loadSource, MessageWriter } from './message-writer.js';
 import type { MessageWriterOptions } from './message-writer.js';
-import type { Digest, HostReport } from './peer-messages.js';
-import { DIGEST_METHOD, digestSchema, hostReportSchema, REPORT_METHOD } from './peer-messages.js';
+import type { Digest, FleetDigest, HostReport, Knowledge } from './peer-messages.js';
+import {
+  DIGEST_METHOD,
+  digestSchema,
+  FLEET_METHOD,
+  fleetDigestSchema,
+  hostReportSchema,
+  REPORT_METHOD,
+} from './peer-messages.js';
 import type { HeardFrom } from './peer-table.js';
 import { RelayPlan } from './relay-plan.js';
-import { ReportSocket } from './report-socket.js';
-import type { StoreAnswer } from './store-answers.js';
 import { StoreAnswers } from './store-answers.js';
 import type { ViewExchange } from './view-exchange.js';
 
-/** Time between two rounds of messages. */
+/** Time between two rounds of messages of a relay, and of a host that has requests at targets. */
 const ROUND_MILLISECONDS = 200;
+/** The same of a host that has none: it tells that it lives. */
+const QUIET_ROUND_MILLISECONDS = 400;
+/** Rounds between two digests of a relay to members that have requests. */
+const ROUNDS_PER_DIGEST = 2;
+/** The same to members that have none: these need to know who lives, and no loads. */
+const ROUNDS_PER_QUIET_DIGEST = 4;
 /**
- * Rounds between two digests of a relay to its members, and between two of these that tell of all
- * hosts. A member reads two relays' digests, some 1 ms each for 89 hosts.
+ * The same to relays of other regions: their hosts send few requests here, and each byte on the way
+ * between regions is dear.
  */
-const ROUNDS_PER_DIGEST = 2;
-const ROUNDS_PER_WHOLE_DIGEST = 4;
+const ROUNDS_PER_FAR_DIGEST = 2;
 /** Shortest time between two rounds, however much changes. */
 const SHORTEST_ROUND_MILLISECONDS = 40;
 
 const messageSchema = z.discriminatedUnion('method', [
   z.object({ method: z.literal(REPORT_METHOD), params: hostReportSchema }),
   z.object({ method: z.literal(DIGEST_METHOD), params: digestSchema }),
+  z.object({ method: z.literal(FLEET_METHOD), params: fleetDigestSchema }),
 ]);
 
 export interface PeerExchangeOptions extends Omit<MessageWriterOptions, 'answers' | 'own'> {
   readonly events: EventLog;
   readonly changes: ViewExchange;
+  readonly openDatagrams: OpenDatagrams;
 }
 
 /** What is needed once the own addresses are known. */
@@ -50,7 +63,7 @@
  */
 export class PeerExchange {
   readonly #options: PeerExchangeOptions;
-  readonly #socket: ReportSocket;
+  readonly #datagrams: Datagrams;
   readonly #tasks: BackgroundTasks;
   readonly #answers: StoreAnswers;
   /** Newest change that each host is known to know, by its name. */
@@ -66,18 +79,19 @@
     this.#options = options;
     this.#answers = new StoreAnswers(options.clock);
     this.#tasks = new BackgroundTasks(options.events.logger);
-    this.#socket = new ReportSocket(options.events, (text) => {
+    this.#datagrams = options.openDatagrams((text) => {
       this.takeDatagram(text);
     });
-    options.view.onChanges(() => {
-      if (this.#isRelay) {
+    options.view.onChanges((changes) => {
+      // A host that comes is told with the next round: hundreds come at once, and none is waited for.
+      if (this.#isRelay && changes.some(({ record }) => record?.kind !== 'entryHost')) {
         this.report();
       }
     });
   }
 
   listen(address: string): Promise<string> {
-    return this.#socket.listen(address);
+    return this.#datagrams.listen(address);
   }
 
   start(own: EntryHostRecord): void {
@@ -87,17 +101,24 @@
     this.#tasks.start('reports', async (signal) => {
       while (!signal.aborted) {
         this.#tell(false);
-        await this.#options.clock.sleep(ROUND_MILLISECONDS, signal);
+        const isBusy = this.#isRelay || writer.hasRequests;
+        const pause = isBusy ? ROUND_MILLISECONDS : QUIET_ROUND_MILLISECONDS;
+        await this.#options.clock.sleep(pause, signal);
       }
     });
   }
 
   async stop(): Promise<void> {
     await this.#tasks.stop();
-    this.#socket.close();
+    this.#datagrams.close();
     this.#running = undefined;
   }
 
+  /** Whether this host is one of those that pass on what others tell, as it would plan it now. */
+  get isRelay(): boolean {
+    return this.#running?.plan.isRelay === true;
+  }
+
   /** Names of the hosts that pass on what others tell. */
   get relayNames(): string[] {
     return this.#running?.plan.relayNames ?? [];
@@ -126,43 +147,54 @@
         events.logger.warn('unexpected datagram', { detail: parsed.error.message });
       } else if (parsed.data.method === REPORT_METHOD) {
         this.#takeReport(parsed.data.params);
-      } else {
+      } else if (parsed.data.method === DIGEST_METHOD) {
         this.#takeDigest(parsed.data.params);
+      } else {
+        this.#takeFleetDigest(parsed.data.params);
       }
     } catch (error) {
       events.logger.warn('unexpected datagram', { detail: String(error) });
     }
   }
 
-  #takeReport({ statuses, inFlight, lastChange, storeAnswer }: HostReport): void {
+  #takeReport(report: HostReport): void {
     const { loads } = this.#options;
-    const [status] = statuses;
+    const [status] = report.statuses;
     if (status === undefined || !this.#takeStatus(status, 'itself')) {
       return;
     }
-    loads.take(loadSource.host(status.name), inFlight);
-    this.#takeKnowledge(status.name, lastChange, storeAnswer);
+    loads.take(loadSource.host(status.name), report.inFlight);
+    this.#takeKnowledge(status.name, report);
   }
 
   #takeDigest(digest: Digest): void {
-    const { from, failureDomain, scope, statuses, news, lastChange, storeAnswer } = digest;
-    const { view, loads } = this.#options;
+    const { from, failureDomain, statuses } = digest;
     const own = this.#running?.own;
     for (const status of statuses) {
       if (status.name !== own?.name) {
         this.#takeStatus(status, status.name === from ? 'itself' : 'another');
       }
     }
-    if (scope === 'domain') {
-      loads.take(loadSource.domain(failureDomain), digest.inFlight);
-    } else {
-      const counted = statuses.find(({ name }) => name === own?.name)?.sequence ?? 0;
-      loads.takeFleet(loadSource.fleet, digest.inFlight, counted);
-    }
+    this.#options.loads.take(loadSource.domain(failureDomain), digest.inFlight);
+    this.#takeNews(digest);
+  }
+
+  #takeFleetDigest(digest: FleetDigest): void {
+    const { peers, loads } = this.#options;
+    const { from, absent, regions, counted, inFlight } = digest;
+    peers.takeTold(from, { absent, regions });
+    const sequence = counted.get(this.#running?.own.name ?? '') ?? 0;
+    loads.takeFleet(loadSource.fleet, inFlight, sequence);
+    this.#takeNews(digest);
+  }
+
+  #takeNews(digest: Digest | FleetDigest): void {
+    const { view, changes } = this.#options;
+    const { from, news } = digest;
     if (news !== undefined && news.revision > view.revision && view.apply(news)) {
-      this.#options.changes.logView(from, news);
+      changes.logView(from, news);
     }
-    this.#takeKnowledge(from, lastChange, storeAnswer);
+    this.#takeKnowledge(from, digest);
   }
 
   /** Takes a host's status; passes on at once that it leaves. Tells whether it was news. */
@@ -177,18 +209,18 @@
   }
 
   /** Fetches what a peer knows beyond this host; takes what it tells of the store's answers. */
-  #takeKnowledge(name: string, lastChange: number, answer: StoreAnswer | undefined): void {
-    const { view } = this.#options;
+  #takeKnowledge(name: string, { lastChange, storeAnswer, controlAddress }: Knowledge): void {
+    const { view, changes } = this.#options;
     this.#lastChanges.set(name, lastChange);
-    const answeredAt = answer === undefined ? undefined : this.#answers.take(answer);
+    const answeredAt = storeAnswer === undefined ? undefined : this.#answers.take(storeAnswer);
     if (lastChange > view.lastChange) {
-      this.#options.changes.fetchFromHost(name);
-    } else if (answer !== undefined && answeredAt !== undefined) {
-      view.confirm(answer.lastChange, answeredAt);
+      changes.fetchUnlessUnderWay(controlAddress);
+    } else if (storeAnswer !== undefined && answeredAt !== undefined) {
+      view.confirm(storeAnswer.lastChange, answeredAt);
     }
   }
 
-  /** @param isUrgent - whether members and all foreign relays are told although it is not their round */
+  /** @param isUrgent - whether all are told, although it is not their round */
   #tell(isUrgent: boolean): void {
     if (this.#running === undefined) {
       return;
@@ -196,13 +228,20 @@
     const { plan, writer } = this.#running;
     this.#toldAt = this.#options.clock.now();
     writer.next();
-    const { reports, members, foreignRelays, isRelay } = plan.recipients(isUrgent);
+    const recipients = plan.recipients(isUrgent);
+    const { reports, isRelay } = recipients;
     this.#round++;
+    const isRound = (every: number): boolean => isUrgent || this.#round % every === 0;
     this.#send(reports, () => writer.report());
-    this.#send(foreignRelays, () => writer.domainDigest(this.#knownToAll(foreignRelays)));
-    if (isUrgent || this.#round % ROUNDS_PER_DIGEST === 0) {
-      const tellsAll = isUrgent || this.#round % ROUNDS_PER_WHOLE_DIGEST === 0;
-      this.#send(members, () => writer.fleetDigest(this.#knownToAll(members), tellsAll));
+    this.#send(recipients.nearRelays, (known) => writer.domainDigest(known));
+    if (isRound(ROUNDS_PER_FAR_DIGEST)) {
+      this.#send(recipients.farRelays, (known) => writer.domainDigest(known));
+    }
+    if (isRound(ROUNDS_PER_DIGEST)) {
+      this.#send(recipients.askingMembers, (known) => writer.fleetDigest(known, true));
+    }
+    if (isRound(ROUNDS_PER_QUIET_DIGEST)) {
+      this.#send(recipients.quietMembers, (known) => writer.fleetDigest(known, false));
     }
     this.#isRelay = isRelay;
     if (this.#isRelay) {
@@ -211,11 +250,11 @@
     }
   }
 
-  #send(hosts: readonly EntryHostRecord[], write: () => string): void {
+  #send(hosts: readonly EntryHostRecord[], write: (knownToAll: number) => string): void {
     if (hosts.length > 0) {
-      const text = write();
+      const text = write(this.#knownToAll(hosts));
       for (const { reportAddress } of hosts) {
-        this.#socket.send(reportAddress, text);
+        this.#datagrams.send(reportAddress, text);
       }
     }
   }
--- a/packages/entry/src/peers/peer-loads.ts
+++ b/packages/entry/src/peers/peer-loads.ts
@@ -66,6 +66,12 @@
     return Object.fromEntries(Object.entries(inFlight).filter(isBusy));
   }
 
+  /** What a source told last; undefined where it told of no requests. */
+  of(source: string): InFlight | undefined {
+    const inFlight = this.#sources.get(source)?.inFlight ?? {};
+    return Object.keys(inFlight).length > 0 ? inFlight : undefined;
+  }
+
   take(source: string, inFlight: InFlight): void {
     this.#forget(source);
     this.#sources.set(source, { inFlight, toldAt: this.#clock.now() });
--- a/packages/entry/src/peers/peer-messages.ts
+++ b/packages/entry/src/peers/peer-messages.ts
@@ -2,12 +2,16 @@
 import { fleetChangeSchema } from '../fleet/fleet-record.js';
 import { hostStatusesSchema } from './host-status.js';
 import { inFlightSchema } from './in-flight.js';
+import { decodeRows } from './rows.js';
 import { storeAnswerSchema } from './store-answers.js';
+import { startsSchema, toldRegionsSchema } from './told-fleet.js';
 
 /** Name of the notification that carries a {@link HostReport} in a datagram. */
 export const REPORT_METHOD = 'entry.report';
 /** Name of the notification that carries a {@link Digest} in a datagram. */
 export const DIGEST_METHOD = 'entry.digest';
+/** Name of the notification that carries a {@link FleetDigest} in a datagram. */
+export const FLEET_METHOD = 'entry.fleet';
 /** Name of the call that asks a peer for what it knows of the store. */
 export const DELTA_METHOD = 'entry.delta';
 
@@ -27,6 +31,8 @@
 
 /** What every message between hosts tells of the store and of targets. */
 const knowledgeFields = {
+  /** Where the sender can be asked for what it knows: its record may not have come here yet. */
+  controlAddress: z.string(),
   /** Revision of the newest change of the store that the sender knows. */
   lastChange: z.number().int(),
   /** The newest answer of the store that the sender knows of; absent where there was none. */
@@ -34,6 +40,16 @@
   inFlight: inFlightSchema,
 };
 
+/** Numbers of reports by the host's name, as rows of text. */
+const countedSchema = z
+  .string()
+  .transform(
+    (text) =>
+      new Map(
+        decodeRows(text).map(([name = '', sequence = '']) => [name, Number.parseInt(sequence, 10)]),
+      ),
+  );
+
 /** What an entry host tells the relays of its failure domain several times a second. */
 export const hostReportSchema = z.object({
   /** The sender's own, one alone. */
@@ -41,20 +57,37 @@
   ...knowledgeFields,
 });
 
-/** What a relay tells: to other failure domains of its own one, to its own one of the whole fleet. */
-export const digestSchema = z.object({
+/** What a relay tells hosts that rely on it, besides what it knows. */
+const digestFields = {
   /** Name of the relay. */
   from: z.string(),
-  failureDomain: z.string(),
-  scope: z.enum(['domain', 'fleet']),
-  /** Hosts that are heard. For those of the relay's own domain, the reports that are counted in. */
-  statuses: hostStatusesSchema,
   /** The last few changes, so that most receivers need not ask for them. */
   news: deltaResultSchema.omit({ isWhole: true, answeredAgeMilliseconds: true }).optional(),
   ...knowledgeFields,
+};
+
+/** What a relay tells other failure domains' relays of its own domain. */
+export const digestSchema = z.object({
+  failureDomain: z.string(),
+  /** Hosts of the domain that are heard. */
+  statuses: hostStatusesSchema,
+  ...digestFields,
+});
+
+/** What a relay tells the hosts of its own failure domain of the whole fleet. */
+export const fleetDigestSchema = z.object({
+  /** Registered hosts that take no callers. */
+  absent: startsSchema,
+  regions: toldRegionsSchema,
+  /** Reports of the domain's hosts that are counted in, by the host's name. */
+  counted: countedSchema,
+  ...digestFields,
 });
 
 export type DeltaParams = z.infer<typeof deltaParamsSchema>;
 export type DeltaResult = z.infer<typeof deltaResultSchema>;
 export type HostReport = z.infer<typeof hostReportSchema>;
 export type Digest = z.infer<typeof digestSchema>;
+export type FleetDigest = z.infer<typeof fleetDigestSchema>;
+/** What every message tells besides its own content. */
+export type Knowledge = Pick<HostReport, keyof typeof knowledgeFields>;
--- a/packages/entry/src/peers/peer-table.ts
+++ b/packages/entry/src/peers/peer-table.ts
@@ -1,7 +1,9 @@
 import type { Clock } from '@ferrylock/utils';
 import type { EventLog } from '../events.js';
 import type { EntryHostRecord } from '../fleet/fleet-record.js';
-import type { HostStatus } from './host-status.js';
+import type { HostStatus, RequestRates } from './host-status.js';
+import type { ToldFleet, ToldRegion } from './told-fleet.js';
+import { isAbsent } from './told-fleet.js';
 
 /**
  * A host of which no new report was heard for this long is taken to be dead or cut off: several
@@ -18,13 +20,24 @@
 /** How a status came here: from the host itself, or from one that heard it. */
 export type HeardFrom = 'itself' | 'another';
 
+/** What a relay told of the whole fleet, and when. */
+interface Told {
+  readonly fleet: ToldFleet;
+  readonly at: number;
+}
+
 /**
- * The entry hosts that are heard of, at first hand or through relays. What was heard last of a host
- * is kept after it fell silent, so that the same news on a longer way does not bring it back.
+ * The entry hosts that are heard of: each by itself, as a relay hears them, or as a whole, as relays
+ * tell the others. What was heard last of a host is kept after it fell silent, so that the same news
+ * on a longer way does not bring it back.
  */
 export class PeerTable {
-  readonly #peers = new Map<string, Peer>();
-  readonly #silent = new Set<string>();
+  readonly #alive = new Map<string, Peer>();
+  /** What was heard last of hosts that fell silent. */
+  readonly #silent = new Map<string, Peer>();
+
+  /** What relays told of the whole fleet, by relay. */
+  readonly #told = new Map<string, Told>();
 
   /** @param registeredIncarnation - the start of a host that the store holds, by the host's name */
   constructor(
@@ -34,46 +47,94 @@
   ) {}
 
   get alive(): Peer[] {
-    return [...this.#peers.values()].filter(({ name }) => !this.#silent.has(name));
+    return [...this.#alive.values()];
   }
 
   /** A host that is heard of; undefined where it is not, or no longer. */
   get(name: string): Peer | undefined {
-    return this.#silent.has(name) ? undefined : this.#peers.get(name);
+    return this.#alive.get(name);
+  }
+
+  /** Whether this start of a registered host runs, as far as is known here. */
+  isAlive(host: EntryHostRecord): boolean {
+    return this.#alive.has(host.name) || this.#isTold(host);
   }
 
-  /** Whether this start of the host takes callers, as far as is known here. */
+  /** Whether this start of a registered host takes callers, as far as is known here. */
   takesCallers(host: EntryHostRecord): boolean {
-    const peer = this.get(host.name);
-    return peer?.incarnation === host.incarnation && !peer.leaving;
+    const peer = this.#alive.get(host.name);
+    return peer === undefined
+      ? this.#isTold(host)
+      : peer.incarnation === host.incarnation && !peer.leaving;
+  }
+
+  /** What relays tell of a region lately; undefined where none does, as at a relay. */
+  toldRegion(region: string): ToldRegion | undefined {
+    for (const { fleet } of this.#told.values()) {
+      const told = fleet.regions.get(region);
+      if (told !== undefined) {
+        return told;
+      }
+    }
+    return undefined;
+  }
+
+  /** What callers of each region ask for, as relays tell lately; undefined where none does. */
+  get toldDemand(): ReadonlyMap<string, RequestRates> | undefined {
+    const [told] = this.#told.values();
+    return told === undefined
+      ? undefined
+      : new Map([...told.fleet.regions].map(([region, { asked }]) => [region, asked]));
+  }
+
+  /** Takes what a relay tells of the whole fleet. */
+  takeTold(relay: string, fleet: ToldFleet): void {
+    this.#told.set(relay, { fleet, at: this.clock.now() });
   }
 
   /** Takes what was heard of a host; tells whether it was news. */
   take(status: HostStatus, from: HeardFrom): boolean {
-    const before = this.#peers.get(status.name);
+    const { name } = status;
+    const before = this.#alive.get(name) ?? this.#silent.get(name);
     if (before !== undefined && !this.#isNewer(status, before, from)) {
       return false;
     }
     const peer = { ...status, heardAt: this.clock.now() };
-    this.#peers.set(status.name, peer);
-    const wasSilent = this.#silent.delete(status.name);
+    this.#alive.set(name, peer);
+    const wasSilent = this.#silent.delete(name);
     if (before?.incarnation !== status.incarnation || wasSilent) {
       this.#log(peer, true);
     }
     return true;
   }
 
-  /** To be called a few times a second: notices hosts that fell silent. */
+  /** To be called a few times a second: notices hosts that fell silent, and what is told no more. */
   sweep(): void {
     const now = this.clock.now();
-    for (const peer of this.alive) {
+    for (const [relay, { at }] of this.#told) {
+      if (now - at > SILENCE_MILLISECONDS) {
+        this.#told.delete(relay);
+      }
+    }
+    for (const peer of this.#alive.values()) {
       if (now - peer.heardAt > SILENCE_MILLISECONDS) {
-        this.#silent.add(peer.name);
+        this.#alive.delete(peer.name);
+        this.#silent.set(peer.name, peer);
         this.#log(peer, false);
       }
     }
   }
 
+  /** Whether some relay that is heard does not miss it. */
+  #isTold(host: EntryHostRecord): boolean {
+    for (const { fleet } of this.#told.values()) {
+      if (!isAbsent(fleet, host)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** What others tell of another start may be long over; the store knows which one is the last. */
   #isNewer(status: HostStatus, before: Peer, from: HeardFrom): boolean {
     if (status.incarnation === before.incarnation) {
--- a/packages/entry/src/peers/relay-plan.ts
+++ b/packages/entry/src/peers/relay-plan.ts
@@ -21,12 +21,27 @@
   readonly isRelay: boolean;
   /** Hosts that take its report. */
   readonly reports: readonly EntryHostRecord[];
-  /** Hosts of the own failure domain that it tells of the fleet; none unless it is a relay. */
-  readonly members: readonly EntryHostRecord[];
-  /** Relays of other failure domains that it tells of its own; none unless it is a relay. */
-  readonly foreignRelays: readonly EntryHostRecord[];
+  /**
+   * Hosts of the own failure domain that it tells of the fleet: those whose callers ask for
+   * something, and the others. None unless it is a relay.
+   */
+  readonly askingMembers: readonly EntryHostRecord[];
+  readonly quietMembers: readonly EntryHostRecord[];
+  /** Relays of other failure domains of its region that it tells of its own; none unless a relay. */
+  readonly nearRelays: readonly EntryHostRecord[];
+  /** The same of other regions. */
+  readonly farRelays: readonly EntryHostRecord[];
 }
 
+/** What a host that is no relay tells beside its reports. */
+const NO_RELAY = {
+  isRelay: false,
+  askingMembers: [],
+  quietMembers: [],
+  nearRelays: [],
+  farRelays: [],
+} as const;
+
 /**
  * Who passes reports on. The relays of a failure domain are found without an election: its hosts
  * rank themselves by what they can carry, and those that are heard and stand first are the relays.
@@ -65,22 +80,30 @@
     const others = domain.filter(({ name }) => name !== own.name);
     const relays = this.#relays(domain).map(nameOf);
     const isRelay = (host: EntryHostRecord): boolean => relays.includes(host.name);
-    const isHeard = (host: EntryHostRecord): boolean => peers.get(host.name) !== undefined;
+    const isHeard = (host: EntryHostRecord): boolean => peers.isAlive(host);
     const reports = others.some(isHeard) ? others.filter(isRelay) : others;
     if (!relays.includes(own.name)) {
-      return { isRelay: false, reports, members: [], foreignRelays: [] };
+      return { ...NO_RELAY, reports };
     }
     this.#turn++;
     const place = relays.indexOf(own.name) + this.#turn;
     const isTurn = (_: unknown, index: number): boolean =>
       isUrgent || (index + place) % relays.length === 0;
+    // Also those that are not heard: one that knows too little yet reports to other relays than these.
+    const members = others.filter((host) => !isRelay(host));
+    const asks = ({ name }: EntryHostRecord): boolean =>
+      Object.keys(peers.get(name)?.asked ?? {}).length > 0;
+    const foreignRelays = [...this.#domains]
+      .filter(([name]) => name !== own.failureDomain)
+      .flatMap(([, hosts]) => this.#reachable(hosts, isTurn));
+    const isNear = ({ region }: EntryHostRecord): boolean => region === own.region;
     return {
       isRelay: true,
       reports,
-      members: others.filter((host) => isHeard(host) && !isRelay(host)),
-      foreignRelays: [...this.#domains]
-        .filter(([name]) => name !== own.failureDomain)
-        .flatMap(([, hosts]) => this.#reachable(hosts, isTurn)),
+      askingMembers: members.filter(asks),
+      quietMembers: members.filter((host) => !asks(host)),
+      nearRelays: foreignRelays.filter(isNear),
+      farRelays: foreignRelays.filter((host) => !isNear(host)),
     };
   }
 
@@ -94,8 +117,20 @@
     return relays.length > 0 || next === undefined ? relays.filter(isTurn) : [next];
   }
 
+  /** Whether this host is one of the relays of its failure domain. */
+  get isRelay(): boolean {
+    const { own } = this.#options;
+    return this.#relays(this.#domains.get(own.failureDomain) ?? []).includes(own);
+  }
+
   #relays(hosts: readonly EntryHostRecord[]): EntryHostRecord[] {
-    return hosts.filter((host) => this.#mayRun(host)).slice(0, RELAYS_PER_DOMAIN);
+    const relays: EntryHostRecord[] = [];
+    for (const host of hosts) {
+      if (relays.length < RELAYS_PER_DOMAIN && this.#mayRun(host)) {
+        relays.push(host);
+      }
+    }
+    return relays;
   }
 
   get #domains(): ReadonlyMap<string, readonly EntryHostRecord[]> {
@@ -104,11 +139,12 @@
   }
 
   #rank(): Map<string, readonly EntryHostRecord[]> {
-    const { view, own } = this.#options;
+    const { view, own, clock } = this.#options;
     const registered = view.records('entryHost').map(({ host }) => host);
     const others = registered.filter(({ name }) => name !== own.name);
     const domains = new Map<string, EntryHostRecord[]>();
     for (const host of [own, ...others]) {
+      this.#seenAt.set(host.incarnation, this.#seenAt.get(host.incarnation) ?? clock.now());
       const hosts = domains.get(host.failureDomain) ?? [];
       hosts.push(host);
       domains.set(host.failureDomain, hosts);
@@ -117,13 +153,12 @@
   }
 
   /** Heard of, or registered so lately that it may not have been heard yet. */
-  #mayRun({ name, incarnation }: EntryHostRecord): boolean {
+  #mayRun(host: EntryHostRecord): boolean {
     const { clock, peers, own } = this.#options;
-    if (name === own.name || peers.get(name) !== undefined) {
+    if (host.name === own.name || peers.isAlive(host)) {
       return true;
     }
-    const seenAt = this.#seenAt.get(incarnation) ?? clock.now();
-    this.#seenAt.set(incarnation, seenAt);
+    const seenAt = this.#seenAt.get(host.incarnation) ?? -Infinity;
     return clock.now() - seenAt < SILENCE_MILLISECONDS;
   }
 }
--- a/packages/entry/src/peers/report-socket.ts
+++ b/packages/entry/src/peers/report-socket.ts
@@ -2,9 +2,10 @@
 import type { Socket } from 'node:dgram';
 import type { EventLog } from '../events.js';
 import { splitAddress } from '../address.js';
+import type { Datagrams } from './datagrams.js';
 
-/** Sends and takes datagrams. A lost one is made good by the next. */
-export class ReportSocket {
+/** Sends and takes messages by UDP. */
+export class ReportSocket implements Datagrams {
   readonly #socket: Socket;
 
   constructor(
@@ -20,7 +21,6 @@
     });
   }
 
-  /** Binds the socket and tells the address, with the port that was taken. */
   async listen(address: string): Promise<string> {
     const { host, port } = splitAddress(address);
     await new Promise<void>((resolve) => {
--- a/packages/entry/src/peers/view-exchange.ts
+++ b/packages/entry/src/peers/view-exchange.ts
@@ -1,14 +1,20 @@
 import type { Clock } from '@ferrylock/utils';
 import type { EventLog } from '../events.js';
 import type { FleetView } from '../fleet/fleet-view.js';
-import type { PeerClient } from './peer-client.js';
+import type { PeerCalls } from './peer-calls.js';
 import type { DeltaParams, DeltaResult } from './peer-messages.js';
 
+/**
+ * Shortest time between two calls to peers. While many changes come one after the other, as where all
+ * hosts start, each message tells of a newer one; one call brings all of them.
+ */
+const FETCH_PAUSE_MILLISECONDS = 150;
+
 export interface ViewExchangeOptions {
   readonly clock: Clock;
   readonly events: EventLog;
   readonly view: FleetView;
-  readonly client: PeerClient;
+  readonly client: PeerCalls;
   /** When the store last answered this host itself, in monotonic milliseconds. */
   readonly storeAnsweredAt: () => number;
 }
@@ -17,6 +23,7 @@
 export class ViewExchange {
   readonly #options: ViewExchangeOptions;
   #isFetching = false;
+  #fetchedAt = -Infinity;
 
   constructor(options: ViewExchangeOptions) {
     this.#options = options;
@@ -57,15 +64,15 @@
     return true;
   }
 
-  /** Asks a host, by its name, unless a call is under way. */
-  fetchFromHost(name: string): void {
-    const hosts = this.#options.view.records('entryHost').map(({ host }) => host);
-    const record = hosts.find((host) => host.name === name);
-    if (this.#isFetching || record === undefined) {
+  /** Asks a peer, by its address, unless a call is under way or has just been. */
+  fetchUnlessUnderWay(address: string): void {
+    const now = this.#options.clock.now();
+    if (this.#isFetching || now - this.#fetchedAt < FETCH_PAUSE_MILLISECONDS) {
       return;
     }
+    this.#fetchedAt = now;
     this.#isFetching = true;
-    void this.fetchFrom(record.controlAddress).finally(() => {
+    void this.fetchFrom(address).finally(() => {
       this.#isFetching = false;
     });
   }
--- a/packages/entry/src/routing/placement-duty.ts
+++ b/packages/entry/src/routing/placement-duty.ts
@@ -2,11 +2,13 @@
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { RequestRates } from '../peers/host-status.js';
 import type { PeerTable } from '../peers/peer-table.js';
-import { sumDemand } from './region-demand.js';
+import { RegionDemand, sumDemand } from './region-demand.js';
 import type { RoutingState } from './routing-state.js';
 
 /** Time between two looks at where keys are to be served; the parts move slowly anyway. */
 const PERIOD_MILLISECONDS = 400;
+/** The same at a host whose callers ask for nothing: it has nothing to place, and is to keep up. */
+const QUIET_PERIOD_MILLISECONDS = 2_000;
 
 export interface PlacementDutyOptions {
   readonly clock: Clock;
@@ -35,16 +37,31 @@
 
   /** To be called a few times a second. */
   sweep(): void {
-    const { clock, view, peers, state, ownName, ownRegion } = this.#options;
+    const { clock, state } = this.#options;
     const now = clock.now();
-    if (now - this.#placedAt < PERIOD_MILLISECONDS) {
+    const { asked } = this;
+    const isQuiet = Object.keys(asked).length === 0;
+    if (now - this.#placedAt < (isQuiet ? QUIET_PERIOD_MILLISECONDS : PERIOD_MILLISECONDS)) {
       return;
     }
     this.#placedAt = now;
+    const demand = this.#demand(asked);
+    state.place((service, region) => demand.of(service, region));
+  }
+
+  /** What callers of each region ask for: as relays tell it, or summed up from what hosts tell. */
+  #demand(asked: RequestRates): RegionDemand {
+    const { view, peers, ownName, ownRegion } = this.#options;
+    const { toldDemand } = peers;
+    if (toldDemand !== undefined) {
+      const told = new RegionDemand();
+      for (const [region, rates] of toldDemand) {
+        told.add(region, rates);
+      }
+      return told;
+    }
     const regionOf = new Map(view.records('entryHost').map(({ host }) => [host.name, host.region]));
     regionOf.set(ownName, ownRegion);
-    const own = { name: ownName, asked: this.asked };
-    const demand = sumDemand([own, ...peers.alive], regionOf);
-    state.place((service, region) => demand.of(service, region));
+    return sumDemand([{ name: ownName, asked }, ...peers.alive], regionOf);
   }
 }
--- a/packages/entry/src/watch-duty.ts
+++ b/packages/entry/src/watch-duty.ts
@@ -17,6 +17,8 @@
 export interface WatchDutyOptions {
   readonly clock: Clock;
   readonly view: FleetView;
+  /** Whether this host is one of those that pass on what others tell. */
+  readonly isRelay: () => boolean;
   /** Hosts that pass on what others tell: what one of them learns reaches all soonest. */
   readonly relayNames: () => readonly string[];
   /** All registered hosts; the same array while nothing changes. */
@@ -39,12 +41,12 @@
   }
 
   get isNeeded(): boolean {
-    const { clock, view, relayNames, ownName } = this.#options;
+    const { clock, view, isRelay, relayNames, ownName } = this.#options;
     const age = clock.now() - view.confirmedAt;
     if (view.isEmpty || age > STALE_MILLISECONDS + this.#stagger()) {
       return true;
     }
-    return watchOrder(relayNames()).slice(0, WATCHERS).includes(ownName);
+    return isRelay() && watchOrder(relayNames()).slice(0, WATCHERS).includes(ownName);
   }
 
   #stagger(): number {
--- /dev/null
+++ b/packages/entry/tests/fleet-member.test.ts
@@ -0,0 +1,107 @@
+/**
+ * Load: a fleet whose hosts mostly have no callers, as where a customer runs hundreds of small ones.
+ * What a host does for the others is to follow from what changes and not from how many there are.
+ * The figures are bounds some way above what was measured, 65 hosts, in counts and not in time.
+ */
+import { EntryFleet, FakeClock } from '@ferrylock/test-utils';
+import { describe, expect, it } from 'vitest';
+
+const HOSTS = 65;
+const REGIONS = 3;
+const SETTLE_MILLISECONDS = 4_000;
+const TEST_MILLISECONDS = 60_000;
+
+async function makeFleet() {
+  const clock = new FakeClock();
+  const fleet = new EntryFleet({
+    clock,
+    hosts: HOSTS,
+    domains: 6,
+    largeHostsPerDomain: 3,
+    targetsPerService: 20,
+    services: 3,
+    seed: 1,
+  });
+  fleet.start();
+  await clock.advance(SETTLE_MILLISECONDS);
+  return { clock, fleet };
+}
+
+/** How many hosts take this one for serving. */
+function believers(fleet: EntryFleet, name: string): number {
+  return fleet.hosts.filter(({ member }) => {
+    const record = member.hosts.find((host) => host.name === name);
+    return record !== undefined && member.peers.takesCallers(record);
+  }).length;
+}
+
+describe('a fleet of hosts that have no callers', { timeout: TEST_MILLISECONDS }, () => {
+  it('starts with few calls between hosts and one listing each', async () => {
+    const { fleet } = await makeFleet();
+    expect(fleet.hosts.every(({ member }) => member.hosts.length === HOSTS)).toBe(true);
+    expect(fleet.store.calls.list).toBe(HOSTS);
+    expect(fleet.counts.calls).toBeLessThan(8 * HOSTS);
+  });
+
+  it('wakes each host some 20 times a second and sends it 5 KB at most', async () => {
+    const { clock, fleet } = await makeFleet();
+    const before = { ...fleet.counts };
+    await clock.advance(5_000);
+    const each = HOSTS * 5;
+    expect((fleet.counts.wakeUps - before.wakeUps) / each).toBeLessThan(25);
+    expect((fleet.counts.bytes - before.bytes) / each).toBeLessThan(5_000);
+    expect((fleet.counts.datagrams - before.datagrams) / each).toBeLessThan(12);
+  });
+
+  it('leaves a host out everywhere that died, member or relay', async () => {
+    const { clock, fleet } = await makeFleet();
+    for (const index of [HOSTS - 1, 0]) {
+      const dead = fleet.hosts[index];
+      expect(believers(fleet, dead?.record.name ?? '')).toBeGreaterThanOrEqual(HOSTS - 2);
+      void dead?.member.close();
+      fleet.hosts.splice(index, 1);
+      await clock.advance(3_500);
+      expect(believers(fleet, dead?.record.name ?? '')).toBe(0);
+    }
+    const others = fleet.hosts.map(({ record }) => believers(fleet, record.name));
+    expect(Math.min(...others)).toBeGreaterThanOrEqual(fleet.hosts.length - 1);
+  });
+
+  it('leaves a host out everywhere within a second after it said that it leaves', async () => {
+    const { clock, fleet } = await makeFleet();
+    const leaving = fleet.hosts[HOSTS - 1];
+    void leaving?.member.leave();
+    await clock.advance(1_000);
+    const others = fleet.hosts.filter((host) => host !== leaving);
+    const name = leaving?.record.name ?? '';
+    const believing = others.filter(({ member }) =>
+      member.hosts.some((host) => host.name === name && member.peers.takesCallers(host)),
+    );
+    expect(believing).toEqual([]);
+  });
+
+  it('agrees on what each region asks for, in parts of a request', async () => {
+    const { clock, fleet } = await makeFleet();
+    fleet.addCallers(9, 300);
+    await clock.advance(12_000);
+    const sums = fleet.hosts.map(({ member }) =>
+      [...(member.peers.toldDemand?.values() ?? [])]
+        .flatMap((asked) => Object.values(asked))
+        .reduce((sum, rate) => sum + rate, 0),
+    );
+    const told = sums.filter((sum) => sum > 0);
+    expect(told.length).toBeGreaterThan(HOSTS / 2);
+    expect(told.reduce((sum, rate) => sum + rate, 0) / told.length).toBeGreaterThan(9 - REGIONS);
+    expect(told.reduce((sum, rate) => sum + rate, 0) / told.length).toBeLessThan(9 + REGIONS);
+  });
+
+  it('has all hosts know a new target within half a second', async () => {
+    const { clock, fleet } = await makeFleet();
+    const [id = ''] = fleet.addTargets(1);
+    await clock.advance(500);
+    const knowing = fleet.hosts.filter(
+      ({ member }) => member.state.serviceOfTarget(id) !== undefined,
+    );
+    expect(knowing).toHaveLength(HOSTS);
+  });
+});
--- a/packages/entry/tests/peers/peer-exchange.test.ts
+++ b/packages/entry/tests/peers/peer-exchange.test.ts
@@ -5,10 +5,11 @@
 import { PeerClient } from '../../src/peers/peer-client.js';
 import { PeerExchange } from '../../src/peers/peer-exchange.js';
 import { PeerLoads } from '../../src/peers/peer-loads.js';
-import { DIGEST_METHOD, REPORT_METHOD } from '../../src/peers/peer-messages.js';
-import { PeerTable } from '../../src/peers/peer-table.js';
+import { DIGEST_METHOD, FLEET_METHOD, REPORT_METHOD } from '../../src/peers/peer-messages.js';
+import { PeerTable, SILENCE_MILLISECONDS } from '../../src/peers/peer-table.js';
+import { ReportSocket } from '../../src/peers/report-socket.js';
 import { ViewExchange } from '../../src/peers/view-exchange.js';
-import { keepEvents, makeRoutingState, targetChange } from '../fixtures.js';
+import { keepEvents, makeHostRecord, makeRoutingState, targetChange } from '../fixtures.js';
 
 async function makeExchange() {
   const clock = new FakeClock();
@@ -31,6 +32,7 @@
     isLeaving: () => false,
     busyShare: () => 0,
     asked: () => ({}),
+    openDatagrams: (onMessage) => new ReportSocket(log, onMessage),
   });
   view.replace(5, [targetChange(5)]);
   await clock.advance(1_000);
@@ -46,6 +48,7 @@
   const source = { name: 'watcher', incarnation: 'first', sequence };
   return JSON.stringify(
     createJSONRPCNotification(REPORT_METHOD, {
+      controlAddress: '127.0.0.1:1',
       statuses: `${source.name}\t${source.incarnation}\t${sequence}\t0\t10`,
       lastChange,
       storeAnswer: { ...source, lastChange, ageMilliseconds },
@@ -58,8 +61,8 @@
   return JSON.stringify(
     createJSONRPCNotification(DIGEST_METHOD, {
       from: 'relay',
+      controlAddress: '127.0.0.1:1',
       failureDomain: 'odense-hal',
-      scope: 'domain',
       statuses: 'relay\tfirst\t3\t0\t10\nmember\tfirst\t8\t1\t20',
       lastChange: 5,
       inFlight: '',
@@ -68,7 +71,47 @@
   );
 }
 
+/** What a relay of this host's own domain tells it. */
+function fleetText(changes: Record<string, unknown> = {}): string {
+  return JSON.stringify(
+    createJSONRPCNotification(FLEET_METHOD, {
+      from: 'relay',
+      controlAddress: '127.0.0.1:1',
+      absent: 'host-2 first',
+      regions: 'jylland\t1.250\tverdict-api\t0.75',
+      counted: '',
+      lastChange: 5,
+      inFlight: '',
+      ...changes,
+    }),
+  );
+}
+
 describe('PeerExchange', () => {
+  it('takes all registered hosts for serving but those that a relay names', async () => {
+    const { peers, exchange } = await makeExchange();
+    expect(peers.takesCallers(makeHostRecord({ name: 'host-1' }))).toBe(false);
+    exchange.takeDatagram(fleetText());
+    expect(peers.takesCallers(makeHostRecord({ name: 'host-1' }))).toBe(true);
+    expect(peers.takesCallers(makeHostRecord({ name: 'host-2' }))).toBe(false);
+    expect(peers.takesCallers(makeHostRecord({ name: 'host-2', incarnation: 'next' }))).toBe(true);
+  });
+
+  it('forgets what a relay told that fell silent', async () => {
+    const { clock, peers, exchange } = await makeExchange();
+    exchange.takeDatagram(fleetText());
+    await clock.advance(SILENCE_MILLISECONDS + 1);
+    peers.sweep();
+    expect(peers.takesCallers(makeHostRecord({ name: 'host-1' }))).toBe(false);
+  });
+
+  it('hears what regions ask for exactly, also where that is less than one request a second', async () => {
+    const { peers, exchange } = await makeExchange();
+    exchange.takeDatagram(fleetText());
+    expect(peers.toldDemand?.get('jylland')).toEqual({ 'verdict-api': 0.75 });
+    expect(peers.toldRegion('jylland')?.work).toBe(1.25);
+  });
+
   it('takes a peer’s answer from the store as a confirmation of its own view', async () => {
     const { view, exchange } = await makeExchange();
     exchange.takeDatagram(reportText(200));
--- a/packages/entry/tests/peers/relay-plan.test.ts
+++ b/packages/entry/tests/peers/relay-plan.test.ts
@@ -9,16 +9,23 @@
 interface PlannedFleet {
   readonly domains: number;
   readonly hostsPerDomain: number;
+  /** Region of each failure domain; `jylland` where nothing is said. */
+  readonly regions?: Readonly<Record<string, string>>;
 }
 
 /** Hosts of domains `d0`, `d1`, ..., named after their domain; the last of each can carry most. */
-function makeHosts({ domains, hostsPerDomain }: PlannedFleet): Partial<EntryHostRecord>[] {
+function makeHosts({
+  domains,
+  hostsPerDomain,
+  regions = {},
+}: PlannedFleet): Partial<EntryHostRecord>[] {
   return Array.from({ length: domains * hostsPerDomain }, (_, index) => {
     const domain = `d${Math.floor(index / hostsPerDomain)}`;
     const place = index % hostsPerDomain;
     const name = `${domain}-h${place}`;
     const capacity = place >= hostsPerDomain - 2 ? 1.35 : 0.27;
-    return { name, incarnation: `start of ${name}`, failureDomain: domain, capacity };
+    const region = regions[domain] ?? 'jylland';
+    return { name, incarnation: `start of ${name}`, failureDomain: domain, region, capacity };
   });
 }
 
@@ -58,13 +65,24 @@
   peers.sweep();
 }
 
+/** The plan's recipients, members and foreign relays each as a whole. */
+function recipientsOf(plan: RelayPlan, isUrgent: boolean) {
+  const recipients = plan.recipients(isUrgent);
+  const { askingMembers, quietMembers, nearRelays, farRelays } = recipients;
+  return {
+    ...recipients,
+    members: [...askingMembers, ...quietMembers],
+    foreignRelays: [...nearRelays, ...farRelays],
+  };
+}
+
 const names = (hosts: readonly EntryHostRecord[]): string[] => hosts.map(({ name }) => name).sort();
 
 describe('RelayPlan', () => {
   it('has a member report to the two hosts of its domain that carry most', async () => {
     const fleet = makePlan({ domains: 3, hostsPerDomain: 5 }, 'd0-h0');
     await settle(fleet, []);
-    const { isRelay, reports, members, foreignRelays } = fleet.plan.recipients(true);
+    const { isRelay, reports, members, foreignRelays } = recipientsOf(fleet.plan, true);
     expect(isRelay).toBe(false);
     expect(names(reports)).toEqual(['d0-h3', 'd0-h4']);
     expect([...members, ...foreignRelays]).toEqual([]);
@@ -73,7 +91,7 @@
   it('has a relay tell its members and the other domains’ relays', async () => {
     const fleet = makePlan({ domains: 3, hostsPerDomain: 5 }, 'd0-h4');
     await settle(fleet, []);
-    const { isRelay, reports, members, foreignRelays } = fleet.plan.recipients(true);
+    const { isRelay, reports, members, foreignRelays } = recipientsOf(fleet.plan, true);
     expect(isRelay).toBe(true);
     expect(names(reports)).toEqual(['d0-h3']);
     expect(names(members)).toEqual(['d0-h0', 'd0-h1', 'd0-h2']);
@@ -84,7 +102,7 @@
     const fleet = makePlan({ domains: 3, hostsPerDomain: 5 }, 'd0-h4');
     await settle(fleet, []);
     const rounds = Array.from({ length: 4 }, () =>
-      names(fleet.plan.recipients(false).foreignRelays),
+      names(recipientsOf(fleet.plan, false).foreignRelays),
     );
     const all = ['d1-h3', 'd1-h4', 'd2-h3', 'd2-h4'];
     for (const [index, told] of rounds.slice(1).entries()) {
@@ -97,7 +115,7 @@
     for (const own of ['d0-h3', 'd0-h4']) {
       const fleet = makePlan({ domains: 2, hostsPerDomain: 5 }, own);
       await settle(fleet, []);
-      told.push(...fleet.plan.recipients(false).foreignRelays);
+      told.push(...recipientsOf(fleet.plan, false).foreignRelays);
     }
     expect(names(told)).toEqual(['d1-h3', 'd1-h4']);
   });
@@ -106,14 +124,14 @@
     const fleet = makePlan({ domains: 2, hostsPerDomain: 1 }, 'd0-h0');
     await settle(fleet, []);
     for (let round = 0; round < 3; round++) {
-      expect(names(fleet.plan.recipients(false).foreignRelays)).toEqual(['d1-h0']);
+      expect(names(recipientsOf(fleet.plan, false).foreignRelays)).toEqual(['d1-h0']);
     }
   });
 
   it('replaces a relay that falls silent, at home and elsewhere', async () => {
     const fleet = makePlan({ domains: 2, hostsPerDomain: 3 }, 'd0-h1');
     await settle(fleet, ['d0-h2', 'd1-h2']);
-    const { reports, foreignRelays } = fleet.plan.recipients(true);
+    const { reports, foreignRelays } = recipientsOf(fleet.plan, true);
     expect(names(reports)).toEqual(['d0-h0']);
     expect(names(foreignRelays)).toEqual(['d1-h0', 'd1-h1']);
   });
@@ -121,13 +139,36 @@
   it('tries each host of a domain in turn of which none is heard', async () => {
     const fleet = makePlan({ domains: 2, hostsPerDomain: 3 }, 'd0-h2');
     await settle(fleet, ['d1-h0', 'd1-h1', 'd1-h2']);
-    const rounds = Array.from({ length: 3 }, () => fleet.plan.recipients(false).foreignRelays);
+    const rounds = Array.from({ length: 3 }, () => recipientsOf(fleet.plan, false).foreignRelays);
     expect(names(rounds.flat())).toEqual(['d1-h0', 'd1-h1', 'd1-h2']);
   });
 
   it('tells its whole domain while it hears nobody there', () => {
     const { plan } = makePlan({ domains: 2, hostsPerDomain: 4 }, 'd0-h0');
-    expect(names(plan.recipients(false).reports)).toEqual(['d0-h1', 'd0-h2', 'd0-h3']);
+    expect(names(recipientsOf(plan, false).reports)).toEqual(['d0-h1', 'd0-h2', 'd0-h3']);
+  });
+
+  it('tells members that have requests apart from those that have none', async () => {
+    const fleet = makePlan({ domains: 2, hostsPerDomain: 5 }, 'd0-h4');
+    await settle(fleet, []);
+    const asking = fleet.peers.get('d0-h1');
+    expect(asking).toBeDefined();
+    if (asking !== undefined) {
+      const asked = { 'verdict-api': 0.5 };
+      fleet.peers.take({ ...asking, sequence: asking.sequence + 1, asked }, 'itself');
+    }
+    const { askingMembers, quietMembers } = fleet.plan.recipients(false);
+    expect(names(askingMembers)).toEqual(['d0-h1']);
+    expect(names(quietMembers)).toEqual(['d0-h0', 'd0-h2']);
+  });
+
+  it('tells relays of its own region apart from those of others', async () => {
+    const regions = { d0: 'jylland', d1: 'jylland', d2: 'fyn' };
+    const fleet = makePlan({ domains: 3, hostsPerDomain: 3, regions }, 'd0-h2');
+    await settle(fleet, []);
+    const { nearRelays, farRelays } = fleet.plan.recipients(true);
+    expect(names(nearRelays)).toEqual(['d1-h1', 'd1-h2']);
+    expect(names(farRelays)).toEqual(['d2-h1', 'd2-h2']);
   });
 
   it('sends each host far fewer messages than there are hosts', async () => {
@@ -136,7 +177,7 @@
     for (const own of ['d0-h0', 'd0-h14']) {
       const fleet = makePlan(size, own);
       await settle(fleet, []);
-      const { reports, members, foreignRelays } = fleet.plan.recipients(true);
+      const { reports, members, foreignRelays } = recipientsOf(fleet.plan, true);
       counts.push(reports.length + members.length + foreignRelays.length);
     }
     expect(counts).toEqual([2, 1 + 13 + 10]);
--- a/packages/entry/tests/watch-duty.test.ts
+++ b/packages/entry/tests/watch-duty.test.ts
@@ -11,7 +11,14 @@
   const view = new FleetView();
   const duties = HOSTS.map(
     (ownName) =>
-      new WatchDuty({ clock, view, ownName, relayNames: () => relays, hostNames: () => HOSTS }),
+      new WatchDuty({
+        clock,
+        view,
+        ownName,
+        isRelay: () => relays.includes(ownName),
+        relayNames: () => relays,
+        hostNames: () => HOSTS,
+      }),
   );
   const needed = (): string[] => HOSTS.filter((_, index) => duties[index]?.isNeeded);
   return { clock, view, needed };
--- a/packages/routing/src/request-rate.ts
+++ b/packages/routing/src/request-rate.ts
@@ -7,12 +7,16 @@
 const LEAST_MILLISECONDS = 100;
 const MILLISECONDS_PER_SECOND = 1_000;
 
-/** How many requests came in a second, of late. */
+/**
+ * How many requests came in a second, of late. Requests are counted over the whole stretch, also where
+ * they are rare: a rate from the first of them on would come out several times too high at hosts that
+ * have less than one a second (3.3 times, 18 hosts with 0.2 a second each), and these are added up.
+ */
 export class RequestRate {
   readonly #clock: Clock;
   readonly #count: SlidingCount;
-  /** When the first request came after a stretch without any. */
-  #startedAt = -Infinity;
+  /** When the very first request came. */
+  #firstAt: number | undefined;
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -20,15 +24,19 @@
   }
 
   record(): void {
-    if (this.#count.total === 0) {
-      this.#startedAt = this.#clock.now();
-    }
+    this.#firstAt ??= this.#clock.now();
     this.#count.add();
   }
 
   get perSecond(): number {
-    const since = this.#clock.now() - this.#startedAt;
-    const counted = Math.min(WINDOW_MILLISECONDS, Math.max(LEAST_MILLISECONDS, since));
-    return (this.#count.total * MILLISECONDS_PER_SECOND) / counted;
+    const since = this.#clock.now() - (this.#firstAt ?? -Infinity);
+    const { total } = this.#count;
+    const whole = (total * MILLISECONDS_PER_SECOND) / WINDOW_MILLISECONDS;
+    if (since >= WINDOW_MILLISECONDS) {
+      return whole;
+    }
+    // The shorter stretch begins with a request, which therefore tells nothing of the rate.
+    const counted = Math.max(LEAST_MILLISECONDS, since);
+    return Math.max(whole, ((total - 1) * MILLISECONDS_PER_SECOND) / counted);
   }
 }
--- a/packages/routing/tests/request-rate.test.ts
+++ b/packages/routing/tests/request-rate.test.ts
@@ -1,9 +1,10 @@
 import { FakeClock } from '@ferrylock/test-utils';
+import { SeededRandom } from '@ferrylock/utils';
 import { describe, expect, it } from 'vitest';
 import { RequestRate } from '../src/index.js';
 
 describe('RequestRate', () => {
-  it('is right from the first moments after a silence, and forgets what is long ago', async () => {
+  it('is right from the first moments, and forgets what is long ago', async () => {
     const clock = new FakeClock();
     const rate = new RequestRate(clock);
     await clock.advance(30_000);
@@ -17,4 +18,26 @@
     await clock.advance(3_000);
     expect(rate.perSecond).toBe(0);
   });
+
+  it('adds up over many hosts that have less than one request a second each', async () => {
+    const clock = new FakeClock();
+    const random = new SeededRandom(3);
+    const hosts = Array.from({ length: 100 }, () => new RequestRate(clock));
+    const sums: number[] = [];
+    for (let step = 0; step < 300; step++) {
+      await clock.advance(50);
+      for (const host of hosts) {
+        // 0.2 requests a second.
+        if (random.next() < 0.01) {
+          host.record();
+        }
+      }
+      if (step >= 40) {
+        sums.push(hosts.reduce((sum, { perSecond }) => sum + perSecond, 0));
+      }
+    }
+    const mean = sums.reduce((sum, value) => sum + value, 0) / sums.length;
+    expect(mean).toBeGreaterThan(18);
+    expect(mean).toBeLessThan(22);
+  });
 });
--- /dev/null
+++ b/packages/test-utils/src/entry-fleet.ts
@@ -0,0 +1,329 @@
+import { deltaResultSchema, EventLog, FleetMember } from '@ferrylock/entry';
+import type { EntryHostRecord, EntryHostSettings, PeerCalls } from '@ferrylock/entry';
+import type { Route, RouteConfiguration, TargetState } from '@ferrylock/routing';
+import { NOTHING_LEFT_OUT } from '@ferrylock/routing';
+import type { Clock, Random } from '@ferrylock/utils';
+import { randomIndex, SeededRandom, silentLogger } from '@ferrylock/utils';
+import { Err, Ok } from 'ts-results-es';
+import { MemoryFleetStore } from './memory-fleet-store.js';
+import { makeRoute, makeTargetRecord } from './routes-and-targets.js';
+
+/** Time of a message between hosts. */
+const WAY_MILLISECONDS = 2;
+/** Bytes of the headers of a datagram (IPv4, UDP), and of a call and its answer (HTTP). */
+const DATAGRAM_HEADER_BYTES = 28;
+const CALL_HEADER_BYTES = 330;
+/** Hosts that are started together are ready one after the other, by what they can carry. */
+const START_SPREAD_MILLISECONDS = 2_000;
+const LARGE_CAPACITY = 1.35;
+const SMALL_CAPACITY = 0.27;
+const MILLISECONDS_PER_SECOND = 1_000;
+
+export interface EntryFleetOptions {
+  readonly clock: Clock;
+  readonly hosts: number;
+  readonly domains: number;
+  /** Large hosts of each failure domain; these alone have callers. */
+  readonly largeHostsPerDomain: number;
+  readonly targetsPerService: number;
+  readonly services: number;
+  readonly seed: number;
+}
+
+/** What the hosts have sent so far. */
+export interface EntryFleetCounts {
+  datagrams: number;
+  /** Bytes of datagrams, headers included. */
+  bytes: number;
+  /** Of these, bytes between regions. */
+  bytesBetweenRegions: number;
+  calls: number;
+  /** Bytes of calls between hosts and their answers, headers included. */
+  callBytes: number;
+  /** Calls back of timers and messages; each of them wakes a process. */
+  wakeUps: number;
+}
+
+/** One host of the fleet. */
+export interface EntryFleetHost {
+  readonly member: FleetMember;
+  readonly record: EntryHostRecord;
+}
+
+/** Counts what wakes a host. */
+class CountingClock implements Clock {
+  constructor(
+    readonly clock: Clock,
+    readonly counts: EntryFleetCounts,
+  ) {}
+
+  now(): number {
+    return this.clock.now();
+  }
+
+  wallTime(): Date {
+    return this.clock.wallTime();
+  }
+
+  async sleep(milliseconds: number, signal?: AbortSignal): Promise<void> {
+    await this.clock.sleep(milliseconds, signal);
+    this.counts.wakeUps++;
+  }
+
+  after(milliseconds: number, callback: () => void): () => void {
+    return this.clock.after(milliseconds, () => {
+      this.counts.wakeUps++;
+      callback();
+    });
+  }
+}
+
+/**
+ * The parts in which entry hosts deal with one another and the store, hundreds of them in one
+ * process, on an in-memory network and by an injected clock. Callers are emulated at the large hosts:
+ * their requests choose targets and stay in flight for the time of their work.
+ */
+export class EntryFleet {
+  readonly store: MemoryFleetStore;
+  readonly hosts: EntryFleetHost[] = [];
+  readonly counts: EntryFleetCounts = {
+    datagrams: 0,
+    bytes: 0,
+    bytesBetweenRegions: 0,
+    calls: 0,
+    callBytes: 0,
+    wakeUps: 0,
+  };
+  /** Requests that found no target. */
+  refused = 0;
+  /** Requests that were sent, by the target's id. */
+  readonly sent = new Map<string, number>();
+  readonly #options: EntryFleetOptions;
+  readonly #random: Random;
+  readonly #receivers = new Map<string, (text: string) => void>();
+  readonly #byControlAddress = new Map<string, FleetMember>();
+  readonly #regionOfAddress = new Map<string, string>();
+  readonly #regions: Readonly<Record<string, string>>;
+
+  constructor(options: EntryFleetOptions) {
+    this.#options = options;
+    this.#random = new SeededRandom(options.seed);
+    this.store = new MemoryFleetStore(options.clock);
+    const domains = Array.from({ length: options.domains }, (_, index) => `domain-${index}`);
+    this.#regions = Object.fromEntries(
+      domains.map((domain, index) => [domain, `region-${index % 3}`]),
+    );
+    this.store.put('configuration', {
+      kind: 'configuration',
+      configuration: this.#configuration(),
+    });
+    this.addTargets(options.targetsPerService);
+  }
+
+  get routes(): readonly Route[] {
+    return this.#configuration().routes;
+  }
+
+  /** Makes all hosts, spread over the failure domains; each begins at once. */
+  start(): void {
+    for (let index = 0; index < this.#options.hosts; index++) {
+      const wait = this.#random.next() * START_SPREAD_MILLISECONDS;
+      this.#options.clock.after(wait, () => {
+        this.#startHost(index);
+      });
+    }
+  }
+
+  /** Records so many further targets of each service, one after the other over the domains. */
+  addTargets(count: number, coldMilliseconds = 0): string[] {
+    const ids: string[] = [];
+    for (let service = 0; service < this.#options.services; service++) {
+      for (let index = 0; index < count; index++) {
+        const id = `target-${service}-${randomIndex(this.#random, 1_000_000_000)}`;
+        const failureDomain = `domain-${index % this.#options.domains}`;
+        const name = serviceName(service);
+        const target = makeTargetRecord({ id, service: name, failureDomain, coldMilliseconds });
+        this.store.put(`targets/${id}`, { kind: 'target', target });
+        ids.push(id);
+      }
+    }
+    return ids;
+  }
+
+  /**
+   * Begins to ask, at each large host, for objects of every service.
+   *
+   * @param perSecond - requests a second of the whole fleet
+   * @param workMilliseconds - how long each is in flight
+   */
+  addCallers(perSecond: number, workMilliseconds: number, keys = 200): void {
+    const large = this.hosts.filter(({ record }) => record.capacity === LARGE_CAPACITY);
+    const gap = (MILLISECONDS_PER_SECOND * large.length) / perSecond;
+    for (const host of large) {
+      const ask = (): void => {
+        this.#ask(host, workMilliseconds, keys);
+        this.#options.clock.after(2 * gap * this.#random.next(), ask);
+      };
+      this.#options.clock.after(gap * this.#random.next(), ask);
+    }
+  }
+
+  #ask({ member, record }: EntryFleetHost, workMilliseconds: number, keys: number): void {
+    const service = member.state.service(
+      serviceName(randomIndex(this.#random, this.#options.services)),
+    );
+    const route = this.routes.find(({ shares }) => shares[0]?.service === service?.name);
+    if (service === undefined || route === undefined) {
+      this.refused++;
+      return;
+    }
+    service.asked.record();
+    service.retries.recordRequest();
+    const target = service.choose({
+      route,
+      key: `key-${randomIndex(this.#random, keys)}`,
+      tried: new Set(),
+      leastUrgent: 2,
+      ownName: record.name,
+      coldSenders: member.hostNames,
+    });
+    if (target === undefined) {
+      this.refused++;
+      return;
+    }
+    this.sent.set(target.id, (this.sent.get(target.id) ?? 0) + 1);
+    this.#work(target, workMilliseconds);
+  }
+
+  #work(target: TargetState, milliseconds: number): void {
+    target.inFlight++;
+    this.#options.clock.after(milliseconds, () => {
+      target.inFlight--;
+    });
+  }
+
+  #startHost(index: number): void {
+    const { clock, domains, largeHostsPerDomain } = this.#options;
+    const place = Math.floor(index / domains);
+    const failureDomain = `domain-${index % domains}`;
+    const region = this.#regions[failureDomain] ?? '';
+    const record: EntryHostRecord = {
+      name: `host-${index}`,
+      incarnation: `first-${index}`,
+      failureDomain,
+      region,
+      trafficAddress: `10.0.0.${index}:1`,
+      controlAddress: `10.0.0.${index}:2`,
+      reportAddress: `10.0.0.${index}:3`,
+      capacity: place < largeHostsPerDomain ? LARGE_CAPACITY : SMALL_CAPACITY,
+    };
+    const member = new FleetMember({
+      settings: this.#settings(record),
+      clock: new CountingClock(clock, this.counts),
+      random: new SeededRandom(this.#options.seed + index),
+      events: new EventLog(silentLogger),
+      store: this.store,
+      peerCalls: this.#callsOf(),
+      openDatagrams: (onMessage) => this.#open(record, onMessage),
+      sampleBusy: () => undefined,
+      busyShare: () => 0.05,
+    });
+    this.#byControlAddress.set(record.controlAddress, member);
+    this.#regionOfAddress.set(record.reportAddress, region);
+    this.hosts.push({ member, record });
+    void member.listen().then(() => {
+      member.start(record);
+    });
+  }
+
+  #settings(record: EntryHostRecord): EntryHostSettings {
+    return {
+      ...record,
+      regions: this.#regions,
+      seedAddresses: [],
+      mostHeldBodyBytes: 1,
+      stopMilliseconds: 6_000,
+      drainMilliseconds: 3_000,
+      retryBound: { ratio: 0.2, slack: 430, windowMilliseconds: 10_000 },
+      shiftBound: { share: 0.15, windowMilliseconds: 2_000 },
+      leftOut: NOTHING_LEFT_OUT,
+      longestDirectoryLifetimeMilliseconds: 5_000,
+    };
+  }
+
+  #open(own: EntryHostRecord, onMessage: (text: string) => void) {
+    return {
+      listen: (address: string): Promise<string> => {
+        this.#receivers.set(address, onMessage);
+        return Promise.resolve(address);
+      },
+      send: (address: string, text: string): void => {
+        const bytes = Buffer.byteLength(text) + DATAGRAM_HEADER_BYTES;
+        this.counts.datagrams++;
+        this.counts.bytes += bytes;
+        this.counts.bytesBetweenRegions +=
+          this.#regionOfAddress.get(address) === own.region ? 0 : bytes;
+        this.#options.clock.after(WAY_MILLISECONDS, () => {
+          this.counts.wakeUps++;
+          this.#receivers.get(address)?.(text);
+        });
+      },
+      close: (): void => {
+        this.#receivers.delete(own.reportAddress);
+      },
+    };
+  }
+
+  #callsOf(): PeerCalls {
+    return {
+      delta: async (address, afterRevision) => {
+        const { clock } = this.#options;
+        this.counts.calls++;
+        await clock.sleep(2 * WAY_MILLISECONDS);
+        const peer = this.#byControlAddress.get(address);
+        if (peer === undefined) {
+          return Err('nobody answers');
+        }
+        const text = JSON.stringify(peer.changes.deltaFor({ afterRevision }));
+        this.counts.callBytes += text.length + CALL_HEADER_BYTES;
+        return Ok(deltaResultSchema.parse(JSON.parse(text)));
+      },
+      close: () => Promise.resolve(),
+    };
+  }
+
+  #configuration(): RouteConfiguration {
+    const services = Array.from({ length: this.#options.services }, (_, index) =>
+      serviceName(index),
+    );
+    return {
+      version: 1,
+      routes: services.map((service, index) =>
+        makeRoute({
+          name: `route-${index}`,
+          host: `${service}.example`,
+          shares: [{ service, weight: 1 }],
+          timeoutMilliseconds: 3_000,
+          targetLatencyMilliseconds: 1_000,
+        }),
+      ),
+      services: services.map((name) => ({
+        name,
+        healthPath: '/health',
+        mostConnections: 3_600,
+        coldMilliseconds: 3_000,
+        coldRequestsPerSecond: 2.8,
+      })),
+      limits: {
+        mostHeaderBytes: 16_384,
+        mostBodyBytes: 1_000_000,
+        headerTimeoutMilliseconds: 3_000,
+        idleTimeoutMilliseconds: 15_000,
+      },
+    };
+  }
+}
+
+function serviceName(index: number): string {
+  return `service-${index}`;
+}
--- a/packages/test-utils/src/index.ts
+++ b/packages/test-utils/src/index.ts
@@ -1,4 +1,6 @@
 export { EtcdStandIn } from './etcd-stand-in.js';
+export { EntryFleet } from './entry-fleet.js';
+export type { EntryFleetCounts, EntryFleetOptions } from './entry-fleet.js';
 export { FakeClock } from './fake-clock.js';
 export { FakeStore } from './fake-store.js';
 export { HostListStandIn } from './host-list-stand-in.js';
@@ -8,6 +10,7 @@
 export type { AccountSize, ServiceSize, TargetLocator } from './skovlund-and-atec.js';
 export { TargetStandIn } from './target-stand-in.js';
 export type { TargetBehaviour, TargetStandInOptions } from './target-stand-in.js';
+export { MemoryFleetStore } from './memory-fleet-store.js';
 export { ControlFleet } from './control-fleet.js';
 export type { ControlFleetOptions, ControlNode } from './control-fleet.js';
 export { MemoryNetwork } from './memory-network.js';
