feat: parts of the shift bound below one are saved up; uploads stay near only as far as their region has room

Ruled out: larger parts for all (the bound is a sum over hosts, also when all use theirs at once); leaving the bound to each service (three parts of a third). Change: one allowance a host for all services; a part is saved until it is one, by as many hosts of a region as fit into a twentieth of its requests, found by a hash of their names; uploads prefer their region for the keys that 0.85 of its slots carry.

--- a/packages/entry/src/fleet-member.ts
+++ b/packages/entry/src/fleet-member.ts
@@ -74,6 +74,7 @@
       clock,
       events,
       view,
+      ownName: settings.name,
       ownRegion: settings.region,
       storeReturnedAt: () => this.#health.returnedAt,
     });
--- a/packages/entry/src/routing/routing-state.ts
+++ b/packages/entry/src/routing/routing-state.ts
@@ -6,7 +6,7 @@
   ShiftBound,
   TargetRecord,
 } from '@ferrylock/routing';
-import { RouteTable, ServiceTargets } from '@ferrylock/routing';
+import { OverflowAllowance, RouteTable, ServiceTargets } from '@ferrylock/routing';
 import type { Clock } from '@ferrylock/utils';
 import type { EventLog } from '../events.js';
 import type { FleetChange } from '../fleet/fleet-record.js';
@@ -17,6 +17,7 @@
   readonly clock: Clock;
   readonly events: EventLog;
   readonly view: FleetView;
+  readonly ownName: string;
   readonly ownRegion: string;
   /** Region of each failure domain. */
   readonly regions: Readonly<Record<string, string>>;
@@ -52,12 +53,14 @@
   readonly #placeOfAddress = new Map<string, TargetPlace>();
   readonly #evacuated = new Map<string, string>();
   readonly #vanished: VanishedTargets;
+  readonly #overflows: OverflowAllowance;
   readonly #limitsListeners: ((limits: CallerLimits) => void)[] = [];
   #active: ActiveConfiguration | undefined;
 
   constructor(options: RoutingStateOptions) {
     this.#options = options;
     this.#vanished = new VanishedTargets(options);
+    this.#overflows = new OverflowAllowance({ ...options, bound: options.shiftBound });
     options.view.onChanges((changes) => {
       this.#takeChanges(changes);
     });
@@ -102,9 +105,14 @@
    * @param requestsPerSecond - what a region's callers ask of a service; undefined while unknown
    */
   place(requestsPerSecond: (service: string, region: string) => number | undefined): void {
+    const { ownRegion, view } = this.#options;
+    let asked = 0;
     for (const service of this.#services.values()) {
       service.place((region) => requestsPerSecond(service.name, region));
+      asked += requestsPerSecond(service.name, ownRegion) ?? 0;
     }
+    const near = view.records('entryHost').filter(({ host }) => host.region === ownRegion);
+    this.#overflows.setRegion(asked, near.length);
   }
 
   /** Writes down where each service's keys are served. */
@@ -212,6 +220,7 @@
     const { regions } = this.#options;
     const created = new ServiceTargets(name, {
       ...this.#options,
+      overflows: this.#overflows,
       regionOf: (failureDomain) => regions[failureDomain] ?? failureDomain,
       isEvacuated: (failureDomain) => this.#isEvacuated(failureDomain),
     });
--- a/packages/entry/tests/fixtures.ts
+++ b/packages/entry/tests/fixtures.ts
@@ -68,6 +68,7 @@
     clock,
     events,
     view,
+    ownName: 'host-1',
     ownRegion: 'jylland',
     regions: {},
     drainMilliseconds: 2_000,
--- a/packages/experiment/src/emulated-host.ts
+++ b/packages/experiment/src/emulated-host.ts
@@ -1,5 +1,5 @@
-import type { LeftOut, Route, SeekingRequest, TargetState } from '@ferrylock/routing';
-import { ServiceTargets } from '@ferrylock/routing';
+import type { LeftOut, Route, SeekingRequest, ShiftBound, TargetState } from '@ferrylock/routing';
+import { OverflowAllowance, ServiceTargets } from '@ferrylock/routing';
 import type { EmulatedTarget } from './emulated-target.js';
 import type { Scenario } from './scenario.js';
 import type { VirtualTime } from './virtual-time.js';
@@ -36,9 +36,16 @@
 export class EmulatedHost {
   readonly options: EmulatedHostOptions;
   readonly #services = new Map<string, ServiceTargets>();
+  readonly #overflows: OverflowAllowance;
 
   constructor(options: EmulatedHostOptions, targets: Iterable<EmulatedTarget>) {
     this.options = options;
+    const { time, name, scenario } = options;
+    this.#overflows = new OverflowAllowance({
+      clock: time,
+      ownName: name,
+      bound: shiftBoundOf(scenario),
+    });
     for (const target of targets) {
       this.learn(target, 0);
     }
@@ -59,15 +66,13 @@
     }
     const { time, region, isEvacuated, leftOut, scenario } = this.options;
     const created = new ServiceTargets(name, {
+      overflows: this.#overflows,
       clock: time,
       retryBound: RETRY_BOUND,
       regionOf: (failureDomain) => failureDomain,
       ownRegion: region,
       isEvacuated,
-      shiftBound: {
-        share: scenario.deployment.mostShiftShare,
-        windowMilliseconds: SHIFT_WINDOW_MILLISECONDS,
-      },
+      shiftBound: shiftBoundOf(scenario),
       leftOut,
     });
     created.settings = {
@@ -167,3 +172,7 @@
     homeRegions: [],
   };
 }
+
+function shiftBoundOf({ deployment }: Scenario): ShiftBound {
+  return { share: deployment.mostShiftShare, windowMilliseconds: SHIFT_WINDOW_MILLISECONDS };
+}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -29,6 +29,7 @@
 export { RoundTrips } from './round-trips.js';
 export { ServiceTargets } from './service-targets.js';
 export type { SeekingRequest, ServiceTargetsOptions, TargetAnswered } from './service-targets.js';
+export { OverflowAllowance } from './shift-bound.js';
 export type { ShiftBound } from './shift-bound.js';
 export { TargetChoice } from './target-choice.js';
 export type { TargetChoiceOptions, TargetDemand } from './target-choice.js';
--- a/packages/routing/src/region-placement.ts
+++ b/packages/routing/src/region-placement.ts
@@ -7,6 +7,12 @@
  * target has all slots taken in more than one moment of eight (five slots, arrivals by chance).
  */
 const COMFORTABLE_LOAD = 0.5;
+/**
+ * Part of its slots that a region's targets take of requests whose bytes are dear on the way to other
+ * regions. Above it they find no room: of a region that was asked for nine tenths of its slots by
+ * uploads alone, an eighth was refused while targets elsewhere stood idle.
+ */
+const NEAR_LOAD = 0.85;
 /** Weight of the present in the spare room of a region, at each update. */
 const SPARE_WEIGHT = 0.2;
 /** Part of the least weight that a region without spare room keeps, so that every order is whole. */
@@ -85,6 +91,12 @@
     return positionOf(key) < this.homeShare(region);
   }
 
+  /** Whether the region serves this key where the way to others is dear: as far as it has room. */
+  isNear(region: string, key: string): boolean {
+    const part = (NEAR_LOAD / COMFORTABLE_LOAD) * this.homeShare(region);
+    return this.#options.leftOut.has('keys-at-home') || positionOf(key) < part;
+  }
+
   /**
    * Regions in the order in which the key's requests prefer them; those come last whose targets
    * cannot be used, or are all cold.
--- a/packages/routing/src/service-targets.ts
+++ b/packages/routing/src/service-targets.ts
@@ -8,8 +8,8 @@
 import { RegionPlacement } from './region-placement.js';
 import type { RegionRoom } from './region-placement.js';
 import { RequestRate } from './request-rate.js';
-import { mostStepPerSecond, OverflowAllowance } from './shift-bound.js';
-import type { ShiftBound } from './shift-bound.js';
+import { mostStepPerSecond } from './shift-bound.js';
+import type { OverflowAllowance, ShiftBound } from './shift-bound.js';
 import { RoundTrips } from './round-trips.js';
 import type { Route, RoutedService } from './route-configuration.js';
 import type { PlacedDemand } from './target-choice.js';
@@ -33,6 +33,8 @@
   /** Whether a failure domain is being emptied. */
   readonly isEvacuated: (failureDomain: string) => boolean;
   readonly shiftBound: ShiftBound;
+  /** Of all services of this host together, as the bound on shifts counts them. */
+  readonly overflows: OverflowAllowance;
   readonly leftOut: LeftOut;
 }
 
@@ -67,7 +69,6 @@
   readonly roundTrips = new RoundTrips();
   readonly retries: RetryAllowance;
   readonly coldGate: ColdGate;
-  readonly overflows: OverflowAllowance;
   /** Requests of this host's callers. */
   readonly asked: RequestRate;
   /** Absent while no configuration names the service. */
@@ -86,7 +87,6 @@
       ...options,
       mostStepPerSecond: mostStepPerSecond(options.shiftBound),
     });
-    this.overflows = new OverflowAllowance(options.clock, options.shiftBound);
     this.choice = new TargetChoice({
       ...options,
       placement: this.placement,
@@ -136,7 +136,7 @@
       staysNear: route.kind === 'upload',
       workMilliseconds: work.knownMilliseconds,
       extraMilliseconds: work.extraMilliseconds,
-      mayOverflow: this.overflows.hasRoom,
+      mayOverflow: this.#options.overflows.hasRoom,
     };
     const chosen = this.choice.choose(demand, this.#options.clock.now(), (target) =>
       this.coldGate.tryTake({
@@ -152,11 +152,11 @@
 
   /** Counts requests that leave the region that they prefer. */
   #countOverflow(demand: PlacedDemand, chosen: TargetState | undefined): void {
-    const { regionOf } = this.#options;
+    const { regionOf, overflows } = this.#options;
     const region = chosen === undefined ? undefined : regionOf(chosen.record.failureDomain);
-    this.overflows.recordRequest();
+    overflows.recordRequest();
     if (region !== undefined && region !== this.choice.regionsFor(demand)[0]) {
-      this.overflows.recordOverflow();
+      overflows.recordOverflow();
     }
   }
 
--- a/packages/routing/src/target-choice.ts
+++ b/packages/routing/src/target-choice.ts
@@ -24,7 +24,7 @@
   readonly tried: ReadonlySet<string>;
   /** Most requests, running and waiting, that a target may have for each of its slots. */
   readonly mostLoadPerSlot: number;
-  /** Whether its bytes make the way between regions dear: targets of the own region come first. */
+  /** Whether its bytes make the way between regions dear: the own region comes first if it has room. */
   readonly staysNear: boolean;
   /** How long work on a known object takes; undefined before the first answer. */
   readonly workMilliseconds: number | undefined;
@@ -114,7 +114,7 @@
     const allowed = order.filter(
       (region) => homeRegions.length === 0 || homeRegions.includes(region),
     );
-    return staysNear && allowed.includes(ownRegion)
+    return staysNear && allowed.includes(ownRegion) && placement.isNear(ownRegion, key)
       ? [ownRegion, ...allowed.filter((region) => region !== ownRegion)]
       : allowed;
   }
--- a/packages/routing/tests/service-targets.test.ts
+++ b/packages/routing/tests/service-targets.test.ts
@@ -1,6 +1,11 @@
 import { FakeClock, makeRoute, makeTargetRecord } from '@ferrylock/test-utils';
 import { describe, expect, it } from 'vitest';
-import { mostLoadPerSlot, NOTHING_LEFT_OUT, ServiceTargets } from '../src/index.js';
+import {
+  mostLoadPerSlot,
+  NOTHING_LEFT_OUT,
+  OverflowAllowance,
+  ServiceTargets,
+} from '../src/index.js';
 import type { TargetState } from '../src/index.js';
 
 const REGIONS: Record<string, string> = { 'aarhus-hal': 'jylland', 'odense-hal': 'fyn' };
@@ -8,16 +13,19 @@
 
 function makeService(evacuated = '') {
   const clock = new FakeClock();
+  const bound = { share: 0.15, windowMilliseconds: 2_000 };
+  const overflows = new OverflowAllowance({ clock, bound, ownName: 'host-1' });
   const service = new ServiceTargets('verdict-api', {
     clock,
+    overflows,
     retryBound: { ratio: 0.2, slack: 10, windowMilliseconds: 10_000 },
     regionOf: (failureDomain) => REGIONS[failureDomain] ?? failureDomain,
     ownRegion: 'jylland',
     isEvacuated: (failureDomain) => failureDomain === evacuated,
-    shiftBound: { share: 0.15, windowMilliseconds: 2_000 },
+    shiftBound: bound,
     leftOut: NOTHING_LEFT_OUT,
   });
-  return { clock, service };
+  return { clock, service, overflows };
 }
 
 function addTargets(service: ServiceTargets, failureDomain: string, count: number): void {
@@ -86,7 +94,7 @@
   });
 
   it('counts no request as leaving its region that is to stay near its caller', () => {
-    const { service } = makeService();
+    const { service, overflows } = makeService();
     addTargets(service, 'aarhus-hal', 1);
     addTargets(service, 'odense-hal', 9);
     const route = makeRoute({ kind: 'upload' });
@@ -100,7 +108,27 @@
         coldSenders: ['host-1'],
       });
     }
-    expect(service.overflows.hasRoom).toBe(true);
+    expect(overflows.hasRoom).toBe(true);
+  });
+
+  it('keeps uploads near their caller only as far as their region can carry them', () => {
+    const { service } = makeService();
+    addTargets(service, 'aarhus-hal', 1);
+    addTargets(service, 'odense-hal', 9);
+    const chosen = KEYS.map((key) =>
+      service.choose({
+        route: makeRoute({ kind: 'upload' }),
+        key,
+        tried: new Set(),
+        leastUrgent: 0,
+        ownName: 'host-1',
+        coldSenders: ['host-1'],
+      }),
+    );
+    const near = chosen.filter((target) => target?.record.failureDomain === 'aarhus-hal').length;
+    // Its tenth of the slots carries a fifth of the keys at the load of all, and 1.7 times that at most.
+    expect(near / KEYS.length).toBeGreaterThan(0.2);
+    expect(near / KEYS.length).toBeLessThan(0.45);
   });
 
   it('tells callers to come back when a full target has worked off what it has', () => {
