fix: a relay names absent whom it does not hear itself, whatever another relay tells

Cause, read in the diff: a host that had been told of the fleet as a whole and became a relay passed that on; two relays that took each other for members would have kept a dead host alive for each other. Test: fails before (absent is empty), passes now.

--- a/packages/entry/src/peers/message-writer.ts
+++ b/packages/entry/src/peers/message-writer.ts
@@ -118,11 +118,11 @@
   /** Registered hosts that take no callers, as this relay hears them. */
   #absent(): string[] {
     const { view, peers, own, isLeaving } = this.#options;
-    const takesCallers = (host: EntryHostRecord): boolean =>
-      host.name === own.name ? !isLeaving() : peers.takesCallers(host);
+    const isServing = (host: EntryHostRecord): boolean =>
+      host.name === own.name ? !isLeaving() : peers.hearsServing(host);
     return view
       .records('entryHost')
-      .flatMap(({ host }) => (takesCallers(host) ? [] : [startOf(host)]));
+      .flatMap(({ host }) => (isServing(host) ? [] : [startOf(host)]));
   }
 
   /** What hosts of each region are busy with and what their callers ask for. */
--- a/packages/entry/src/peers/peer-table.ts
+++ b/packages/entry/src/peers/peer-table.ts
@@ -62,10 +62,16 @@
 
   /** Whether this start of a registered host takes callers, as far as is known here. */
   takesCallers(host: EntryHostRecord): boolean {
+    return this.#alive.has(host.name) ? this.hearsServing(host) : this.#isTold(host);
+  }
+
+  /**
+   * Whether this start of a registered host was heard to take callers, without what relays tell of the
+   * whole: what a relay itself passes on, or two of them would keep a dead host alive for each other.
+   */
+  hearsServing(host: EntryHostRecord): boolean {
     const peer = this.#alive.get(host.name);
-    return peer === undefined
-      ? this.#isTold(host)
-      : peer.incarnation === host.incarnation && !peer.leaving;
+    return peer?.incarnation === host.incarnation && !peer.leaving;
   }
 
   /** What relays tell of a region lately; undefined where none does, as at a relay. */
--- /dev/null
+++ b/packages/entry/tests/peers/message-writer.test.ts
@@ -0,0 +1,60 @@
+import { FakeClock } from '@ferrylock/test-utils';
+import { describe, expect, it } from 'vitest';
+import { FleetView } from '../../src/index.js';
+import { MessageWriter } from '../../src/peers/message-writer.js';
+import { PeerLoads } from '../../src/peers/peer-loads.js';
+import { fleetDigestSchema } from '../../src/peers/peer-messages.js';
+import { PeerTable } from '../../src/peers/peer-table.js';
+import { StoreAnswers } from '../../src/peers/store-answers.js';
+import { hostChange, keepEvents, makeHostRecord, makeRoutingState } from '../fixtures.js';
+
+/** A relay, `host-1`, that hears `host-2` and not `host-3`. */
+function makeWriter() {
+  const clock = new FakeClock();
+  const { log } = keepEvents();
+  const view = new FleetView();
+  const names = ['host-1', 'host-2', 'host-3'];
+  view.replace(
+    1,
+    names.map((name) => hostChange(1, { name })),
+  );
+  const peers = new PeerTable(clock, log, () => 'first');
+  const status = { incarnation: 'first', leaving: false, busyShare: 0.2 };
+  peers.take({ ...status, name: 'host-2', sequence: 1, asked: { 'verdict-api': 0.25 } }, 'itself');
+  const writer = new MessageWriter({
+    clock,
+    view,
+    peers,
+    loads: new PeerLoads(clock, makeRoutingState(clock, view, log)),
+    answers: new StoreAnswers(clock),
+    own: makeHostRecord({ name: 'host-1' }),
+    isLeaving: () => false,
+    busyShare: () => 0.1,
+    asked: () => ({ 'verdict-api': 0.5 }),
+    storeAnsweredAt: () => -Infinity,
+  });
+  const digest = () => {
+    const { params } = JSON.parse(writer.fleetDigest(0, false)) as { params: unknown };
+    return fleetDigestSchema.parse(params);
+  };
+  return { peers, digest };
+}
+
+describe('the digest of the fleet', () => {
+  it('names the registered hosts that the relay does not hear', () => {
+    expect([...makeWriter().digest().absent]).toEqual(['host-3 first']);
+  });
+
+  it('does not pass on what another relay tells of the whole', () => {
+    const { peers, digest } = makeWriter();
+    peers.takeTold('another relay', { absent: new Set(), regions: new Map() });
+    expect(peers.takesCallers(makeHostRecord({ name: 'host-3' }))).toBe(true);
+    expect([...digest().absent]).toEqual(['host-3 first']);
+  });
+
+  it('sums up what a region is busy with and asks for', () => {
+    const told = makeWriter().digest().regions.get('jylland');
+    expect(told?.work).toBeCloseTo(0.5 * (0.1 + 0.2));
+    expect(told?.asked).toEqual({ 'verdict-api': 0.75 });
+  });
+});
