--- a/packages/routing/src/request-rate.ts
+++ b/packages/routing/src/request-rate.ts
@@ -10,7 +10,8 @@
 /**
  * How many requests came in a second, of late. Requests are counted over the whole stretch, also where
  * they are rare: a rate from the first of them on would come out several times too high at hosts that
- * have less than one a second (3.3 times, 18 hosts with 0.2 a second each), and these are added up.
+ * have less than one a second (3.3 times, 18 hosts with 0.17 a second of each of three services), and these
+ * are added up.
  */
 export class RequestRate {
   readonly #clock: Clock;
--- a/packages/routing/src/shift-bound.ts
+++ b/packages/routing/src/shift-bound.ts
@@ -38,8 +38,8 @@
  *
  * Load that it answers: hundreds of hosts, each of which has so few requests in a window that its part
  * is less than one. Such a part is saved until it is a whole overflow, one at most, and only by so
- * many hosts of a region that what all of them saved fits into the bound at once. Before, hosts with
- * fewer than 17 requests in two seconds refused what targets elsewhere had room for: 293 of 2,403
+ * many hosts of a region that what all of them saved fits into the bound at once. Without that, a host
+ * with fewer than 17 requests in two seconds refuses what targets elsewhere have room for: 293 of 2,403
  * uploads of a day with 195 hosts.
  */
 export class OverflowAllowance {
