--- a/packages/routing/tests/request-rate.test.ts
+++ b/packages/routing/tests/request-rate.test.ts
@@ -19,6 +19,21 @@
     expect(rate.perSecond).toBe(0);
   });
 
+  it('rises to a new rate within its stretch after a silence, and not above it', async () => {
+    const clock = new FakeClock();
+    const rate = new RequestRate(clock);
+    rate.record();
+    await clock.advance(30_000);
+    const seen: number[] = [];
+    for (let count = 0; count < 300; count++) {
+      rate.record();
+      seen.push(rate.perSecond);
+      await clock.advance(10);
+    }
+    expect(Math.max(...seen)).toBeLessThan(120);
+    expect(seen[220]).toBeGreaterThan(80);
+  });
+
   it('adds up over many hosts that have less than one request a second each', async () => {
     const clock = new FakeClock();
     const random = new SeededRandom(3);
