feat: accounts' limits are kept over all entry hosts, by what hosts tell of their use

Cause: nothing kept a client account's limit. Ruled out: equal parts (an account's callers sit at few hosts), parts by demand of the moment alone (in a rush each host sees its own part grow and the others' late: passes the bound), a keeper for each account (a call before requests, forgets when it dies). Change: hosts tell used and asked requests of each account with the reports that travel anyway; each counts its own exactly. With ample room all runs, near the limit each takes its part of the room; a rush near the limit is told out of turn; what a host or relay has forgotten still counts for a window; a host that is cut off goes on as before for one window, and one that starts again leaves room for what nobody remembers. 429 says when there will be room.

--- a/packages/bench/src/fleet/host-process.ts
+++ b/packages/bench/src/fleet/host-process.ts
@@ -81,6 +81,8 @@
       drainMilliseconds: 2_000,
       retryBound: { ratio: 0.2, slack: 64, windowMilliseconds: 10_000 },
       shiftBound: { share: 0.15, windowMilliseconds: 2_000 },
+      quotaBound: { windowMilliseconds: 5_000, overage: 0.1, slack: 20 },
+      isFirstStart: true,
       leftOut: NOTHING_LEFT_OUT,
       longestDirectoryLifetimeMilliseconds: 5_000,
     },
--- /dev/null
+++ b/packages/entry/src/accounts/account-duty.ts
@@ -0,0 +1,192 @@
+import { AccountQuotas, forgottenShare } from '@ferrylock/routing';
+import type {
+  AccountUsage,
+  ClientAccount,
+  FleetKnowledge,
+  QuotaBound,
+  QuotaRefusal,
+} from '@ferrylock/routing';
+import type { Clock, Random } from '@ferrylock/utils';
+import type { EntryHostRecord } from '../fleet/fleet-record.js';
+import { largeHosts } from '../fleet/large-hosts.js';
+import { loadSource } from '../peers/load-source.js';
+import { startOf } from '../peers/told-fleet.js';
+import { PeerUsage } from './peer-usage.js';
+
+/**
+ * From the end of a process to the first request of the next one, at least: for so long nothing ran at
+ * this host, though the new process does not remember it.
+ */
+const LEAST_DOWN_MILLISECONDS = 1_000;
+/** Below this part of the registered hosts a host is rather cut off itself than the others are. */
+const FEWEST_HEARD = 0.5;
+/**
+ * Hosts that know nothing of others, large and small ones together, have two such parts of what a window may
+ * have: half of a fleet that starts again beside a busy half then uses what is left on top of the limit.
+ */
+const BLIND_PARTS = 3;
+/** Part of an account's limit from which others are told at once how its use grows. */
+const NEAR_LIMIT = 0.65;
+/**
+ * Part of its limit by which an account's use grows before others are told at once: at the limit's own rate
+ * that is less than a round of reports, so that only a rush is told out of turn.
+ */
+const TOLD_AT_ONCE = 0.045;
+
+export interface AccountDutyOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly bound: QuotaBound;
+  readonly ownName: string;
+  /** Whether the whole deployment starts for the first time, so that nothing ran before. */
+  readonly isFirstStart: boolean;
+  /** Registered hosts; the same array while nothing changes. */
+  readonly hosts: () => readonly EntryHostRecord[];
+  readonly isHeard: (host: EntryHostRecord) => boolean;
+  /** An account's use grows faster than the rounds of reports tell. */
+  readonly onRush: () => void;
+}
+
+/** Names one start of a host. */
+type HostStart = Pick<EntryHostRecord, 'name' | 'incarnation'>;
+
+/** Keeps client accounts to their limits, with what other hosts tell of their use. */
+export class AccountDuty {
+  readonly quotas: AccountQuotas;
+  readonly usage: PeerUsage;
+  readonly #options: AccountDutyOptions;
+  /** Growth of accounts' use that was not told yet. */
+  readonly #growth = new Map<string, number>();
+  /** Since when what ran anywhere is remembered by some host that is heard. */
+  #rememberedSince: number;
+  /** The last start of each host that told of itself. */
+  readonly #sourceOfHost = new Map<string, string>();
+  #hearsMost = true;
+  /** When the use of most other hosts was told last. */
+  #newsAt = -Infinity;
+  #blindShare = 1;
+
+  constructor(options: AccountDutyOptions) {
+    this.#options = options;
+    const { clock, bound } = options;
+    this.#rememberedSince = options.isFirstStart ? -Infinity : clock.now();
+    this.usage = new PeerUsage({
+      clock,
+      windowMilliseconds: bound.windowMilliseconds,
+      own: () => this.quotas.usage,
+    });
+    this.quotas = new AccountQuotas({
+      ...options,
+      others: (account) => this.usage.others(account),
+      fleet: () => this.#fleet,
+    });
+    this.sweep();
+  }
+
+  /** How long some host that is heard remembers what ran, in milliseconds; at most one window. */
+  get rememberedMilliseconds(): number {
+    const { clock, bound } = this.#options;
+    return Math.min(bound.windowMilliseconds, clock.now() - this.#rememberedSince);
+  }
+
+  /** Lets a request of an account run, or tells why not. */
+  take(account: ClientAccount): QuotaRefusal | undefined {
+    const refusal = this.quotas.take(account);
+    if (refusal === undefined) {
+      this.#grow(account.name, 1);
+    }
+    return refusal;
+  }
+
+  /** Counts in how often a request that was let run came to run. */
+  settle(account: ClientAccount, runs: number): void {
+    this.quotas.settle(account, runs);
+  }
+
+  /** Takes what a host tells of itself. */
+  takeHost(start: HostStart, told: AccountUsage | undefined, rememberedMilliseconds: number): void {
+    const source = loadSource.host(startOf(start));
+    const before = this.#sourceOfHost.get(start.name);
+    if (before !== undefined && before !== source) {
+      this.usage.end(before);
+    }
+    this.#sourceOfHost.set(start.name, source);
+    this.takeTold(source, told, rememberedMilliseconds);
+  }
+
+  /** Takes what a source of reports tells. */
+  takeTold(source: string, told: AccountUsage | undefined, rememberedMilliseconds: number): void {
+    const before = this.usage.take(source, told);
+    this.#takeNews(rememberedMilliseconds);
+    for (const [account, used] of Object.entries(told?.used ?? {})) {
+      this.#grow(account, used - (before[account] ?? 0));
+    }
+  }
+
+  /** Takes what a relay tells of the whole fleet. */
+  takeFleet(
+    told: AccountUsage | undefined,
+    sequence: number,
+    rememberedMilliseconds: number,
+  ): void {
+    this.usage.takeFleet(told, sequence);
+    this.#takeNews(rememberedMilliseconds);
+  }
+
+  /** This host's own use, to be told under a number; what grew until now is told with it. */
+  report(sequence: number): AccountUsage {
+    this.#growth.clear();
+    return this.usage.report(sequence);
+  }
+
+  /** To be called a few times a second: looks who is heard. */
+  sweep(): void {
+    const { clock, hosts, ownName, isHeard } = this.#options;
+    const registered = hosts();
+    const others = registered.filter(({ name }) => name !== ownName);
+    const heard = others.filter((host) => isHeard(host)).length;
+    this.#hearsMost = heard + 1 >= FEWEST_HEARD * (others.length + 1);
+    if (others.length === 0) {
+      this.#newsAt = clock.now();
+    }
+    const large = largeHosts(registered, (host) => host);
+    const isLarge = large.some(({ name }) => name === ownName);
+    this.#blindShare = 1 / (BLIND_PARTS * Math.max(1, isLarge ? large.length : registered.length));
+    this.usage.sweep();
+  }
+
+  get #fleet(): FleetKnowledge {
+    const { clock, bound } = this.#options;
+    const { windowMilliseconds } = bound;
+    const deafMilliseconds = clock.now() - this.#newsAt;
+    const known = this.rememberedMilliseconds + LEAST_DOWN_MILLISECONDS;
+    return {
+      deafMilliseconds,
+      blindShare: this.#blindShare,
+      forgottenShare: forgottenShare(known, windowMilliseconds),
+    };
+  }
+
+  #takeNews(rememberedMilliseconds: number): void {
+    const now = this.#options.clock.now();
+    this.#newsAt = this.#hearsMost ? now : this.#newsAt;
+    const rememberedSince = now - rememberedMilliseconds;
+    this.#rememberedSince = Math.min(this.#rememberedSince, rememberedSince);
+  }
+
+  #grow(account: string, count: number): void {
+    const limit = this.quotas.limitOf(account);
+    if (limit === undefined || count <= 0) {
+      return;
+    }
+    const growth = (this.#growth.get(account) ?? 0) + count;
+    this.#growth.set(account, growth);
+    if (growth > 1 + TOLD_AT_ONCE * limit && this.#totalOf(account) > NEAR_LIMIT * limit) {
+      this.#options.onRush();
+    }
+  }
+
+  #totalOf(account: string): number {
+    return this.usage.others(account).used + (this.quotas.usedBy(account) ?? 0);
+  }
+}
--- a/packages/entry/src/entry-host-settings.ts
+++ b/packages/entry/src/entry-host-settings.ts
@@ -1,4 +1,4 @@
-import type { LeftOut, RetryBound, ShiftBound } from '@ferrylock/routing';
+import type { LeftOut, QuotaBound, RetryBound, ShiftBound } from '@ferrylock/routing';
 
 /** What an entry host is told when it starts. */
 export interface EntryHostSettings {
@@ -22,6 +22,10 @@
   readonly drainMilliseconds: number;
   readonly retryBound: RetryBound;
   readonly shiftBound: ShiftBound;
+  /** How client accounts' requests are counted. */
+  readonly quotaBound: QuotaBound;
+  /** Whether the whole deployment starts for the first time. */
+  readonly isFirstStart: boolean;
   /** Mechanisms that are left out, to measure what they are worth. */
   readonly leftOut: LeftOut;
   /** Longest that callers use a directory answer. */
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -74,7 +74,7 @@
       busyShare: () => this.#busy.share,
     });
     this.#largeHosts = { of: [], names: [settings.name] };
-    const { view, state, peers } = this.#member;
+    const { view, state, peers, accounts } = this.#member;
     this.#client = new TargetClient({
       clock,
       onConnected: (address, milliseconds) => {
@@ -93,6 +93,7 @@
     const forwarder = new RequestForwarder({
       ...options,
       state,
+      accounts,
       client: this.#client,
       bodies: new BodyReader(clock, settings.mostHeldBodyBytes),
       answers: new AnswerWriter({ ...options, view, metrics: this.metrics }),
@@ -112,7 +113,7 @@
       changes: this.#member.changes,
       metricsText: () => this.metricsText(),
     });
-    state.onLimits((limits) => {
+    state.onConfiguration(({ limits }) => {
       this.#front.setLimits(limits);
     });
   }
--- a/packages/entry/src/fleet-member.ts
+++ b/packages/entry/src/fleet-member.ts
@@ -1,5 +1,6 @@
 import { BackgroundTasks } from '@ferrylock/utils';
 import type { Clock, Random } from '@ferrylock/utils';
+import { AccountDuty } from './accounts/account-duty.js';
 import type { EntryHostSettings } from './entry-host-settings.js';
 import type { EventLog } from './events.js';
 import type { EntryHostRecord } from './fleet/fleet-record.js';
@@ -47,6 +48,8 @@
   readonly view = new FleetView();
   readonly state: RoutingState;
   readonly peers: PeerTable;
+  /** Keeps client accounts to their limits. */
+  readonly accounts: AccountDuty;
   /** Answers other hosts' calls. */
   readonly changes: ViewExchange;
   readonly #options: FleetMemberOptions;
@@ -79,6 +82,20 @@
       storeReturnedAt: () => this.#health.returnedAt,
     });
     this.#loads = new PeerLoads(clock, this.state);
+    this.accounts = new AccountDuty({
+      ...options,
+      bound: settings.quotaBound,
+      ownName: settings.name,
+      isFirstStart: settings.isFirstStart,
+      hosts: () => this.#hosts,
+      isHeard: (host) => this.peers.isAlive(host),
+      onRush: () => {
+        this.#exchange.report();
+      },
+    });
+    this.state.onConfiguration(({ accounts = [] }) => {
+      this.accounts.quotas.setAccounts(accounts);
+    });
     this.#placement = new PlacementDuty({
       clock,
       view,
@@ -101,6 +118,7 @@
       changes: this.changes,
       storeAnsweredAt,
       loads: this.#loads,
+      accounts: this.accounts,
       isLeaving: () => this.#isLeaving,
       asked: () => this.#placement.asked,
     });
@@ -219,6 +237,7 @@
       onSweep(paused);
       this.peers.sweep();
       this.#loads.sweep();
+      this.accounts.sweep();
       this.#health.recordConfirmation(this.view.confirmedAt);
       this.state.sweep();
       this.#placement.sweep();
--- a/packages/entry/src/peers/in-flight.ts
+++ b/packages/entry/src/peers/in-flight.ts
@@ -1,8 +1,9 @@
 import { z } from 'zod';
+import type { Counts } from './counts.js';
 import { decodeRows, encodeRows } from './rows.js';
 
 /** Requests at targets, by the target's id; those without any are left out. */
-export type InFlight = Readonly<Record<string, number>>;
+export type InFlight = Counts;
 
 /** Requests at targets as rows of text. */
 export const inFlightSchema = z.string().transform((text, context): InFlight => {
--- /dev/null
+++ b/packages/entry/src/peers/load-source.ts
@@ -0,0 +1,8 @@
+/** How sources of loads are named: a host, a failure domain, or the whole fleet. */
+export const loadSource = {
+  host: (name: string): string => `host ${name}`,
+  domain: (failureDomain: string): string => `domain ${failureDomain}`,
+  fleet: 'fleet',
+  isHost: (source: string): boolean => source.startsWith('host '),
+  isPart: (source: string): boolean => source !== 'fleet',
+} as const;
--- a/packages/entry/src/peers/message-writer.ts
+++ b/packages/entry/src/peers/message-writer.ts
@@ -1,11 +1,15 @@
+import type { AccountUsage } from '@ferrylock/routing';
 import type { Clock } from '@ferrylock/utils';
 import { createJSONRPCNotification } from 'json-rpc-2.0';
+import type { AccountDuty } from '../accounts/account-duty.js';
 import type { EntryHostRecord } from '../fleet/fleet-record.js';
 import type { FleetDelta, FleetView } from '../fleet/fleet-view.js';
+import { encodeAccountUsage } from './account-rows.js';
 import type { HostStatus, RequestRates } from './host-status.js';
 import { encodeStatuses } from './host-status.js';
 import type { InFlight } from './in-flight.js';
 import { encodeInFlight } from './in-flight.js';
+import { loadSource } from './load-source.js';
 import type { PeerLoads } from './peer-loads.js';
 import { DIGEST_METHOD, FLEET_METHOD, REPORT_METHOD } from './peer-messages.js';
 import type { PeerTable } from './peer-table.js';
@@ -22,6 +26,7 @@
   readonly view: FleetView;
   readonly peers: PeerTable;
   readonly loads: PeerLoads;
+  readonly accounts: AccountDuty;
   readonly answers: StoreAnswers;
   readonly own: EntryHostRecord;
   readonly isLeaving: () => boolean;
@@ -33,20 +38,12 @@
   readonly storeAnsweredAt: () => number;
 }
 
-/** How sources of loads are named. */
-export const loadSource = {
-  host: (name: string): string => `host ${name}`,
-  domain: (failureDomain: string): string => `domain ${failureDomain}`,
-  fleet: 'fleet',
-  isHost: (source: string): boolean => source.startsWith('host '),
-  isPart: (source: string): boolean => source !== 'fleet',
-} as const;
-
 /** Writes what this host tells others: its report, and a relay's digests. */
 export class MessageWriter {
   readonly #options: MessageWriterOptions;
   #sequence = 0;
   #inFlight: InFlight = {};
+  #usage: AccountUsage = { used: {}, asked: {} };
   #toldAnswerAt = -Infinity;
 
   constructor(options: MessageWriterOptions) {
@@ -62,13 +59,14 @@
   next(): void {
     this.#sequence++;
     this.#inFlight = this.#options.loads.report(this.#sequence);
+    this.#usage = this.#options.accounts.report(this.#sequence);
     this.#tellStoreAnswer();
   }
 
   report(): string {
     const params = {
       statuses: encodeStatuses([this.#ownStatus()]),
-      ...this.#knowledge(this.#inFlight),
+      ...this.#knowledge(this.#inFlight, this.#usage),
     };
     return JSON.stringify(createJSONRPCNotification(REPORT_METHOD, params));
   }
@@ -79,11 +77,13 @@
    * @param knownToAll - revision of a change that all who get it know
    */
   domainDigest(knownToAll: number): string {
-    const { loads, own } = this.#options;
+    const { loads, accounts, own } = this.#options;
+    const inFlight = loads.sum(loadSource.isHost, this.#inFlight);
+    const usage = accounts.usage.sum(loadSource.isHost, this.#usage);
     return this.#digest(DIGEST_METHOD, knownToAll, {
       failureDomain: own.failureDomain,
       statuses: encodeStatuses(this.#ownDomainStatuses()),
-      ...this.#knowledge(loads.sum(loadSource.isHost, this.#inFlight)),
+      ...this.#knowledge(inFlight, usage),
     });
   }
 
@@ -94,14 +94,15 @@
    * @param tellsLoads - whether those who get it have requests, which they send by targets' loads
    */
   fleetDigest(knownToAll: number, tellsLoads: boolean): string {
-    const { loads } = this.#options;
+    const { loads, accounts } = this.#options;
+    const usage = accounts.usage.sum(loadSource.isPart, this.#usage);
     const inFlight = tellsLoads ? loads.onlyBusy(loads.sum(loadSource.isPart, this.#inFlight)) : {};
     const counted = tellsLoads ? this.#counted() : [];
     return this.#digest(FLEET_METHOD, knownToAll, {
       absent: encodeStarts(this.#absent()),
       regions: encodeRegions(this.#regions()),
       counted: encodeRows(counted),
-      ...this.#knowledge(inFlight),
+      ...this.#knowledge(inFlight, usage),
     });
   }
 
@@ -150,14 +151,17 @@
     return fellows.map(({ name, sequence }) => [name, sequence]);
   }
 
-  #knowledge(inFlight: InFlight): Record<string, unknown> {
-    const { view, answers, own } = this.#options;
+  #knowledge(inFlight: InFlight, usage: AccountUsage): Record<string, unknown> {
+    const { view, answers, own, accounts } = this.#options;
     const { newest } = answers;
+    const accountRows = encodeAccountUsage(usage);
     return {
       controlAddress: own.controlAddress,
       lastChange: view.lastChange,
       ...(newest === undefined ? {} : { storeAnswer: newest }),
       inFlight: encodeInFlight(inFlight),
+      remembered: Math.round(accounts.rememberedMilliseconds),
+      ...(accountRows === '' ? {} : { accounts: accountRows }),
     };
   }
 
--- a/packages/entry/src/peers/peer-exchange.ts
+++ b/packages/entry/src/peers/peer-exchange.ts
@@ -4,7 +4,8 @@
 import type { EntryHostRecord } from '../fleet/fleet-record.js';
 import type { Datagrams, OpenDatagrams } from './datagrams.js';
 import type { HostStatus } from './host-status.js';
-import { loadSource, MessageWriter } from './message-writer.js';
+import { loadSource } from './load-source.js';
+import { MessageWriter } from './message-writer.js';
 import type { MessageWriterOptions } from './message-writer.js';
 import type { Digest, FleetDigest, HostReport, Knowledge } from './peer-messages.js';
 import {
@@ -158,12 +159,13 @@
   }
 
   #takeReport(report: HostReport): void {
-    const { loads } = this.#options;
+    const { loads, accounts } = this.#options;
     const [status] = report.statuses;
     if (status === undefined || !this.#takeStatus(status, 'itself')) {
       return;
     }
     loads.take(loadSource.host(status.name), report.inFlight);
+    accounts.takeHost(status, report.accounts, report.remembered);
     this.#takeKnowledge(status.name, report);
   }
 
@@ -175,16 +177,20 @@
         this.#takeStatus(status, status.name === from ? 'itself' : 'another');
       }
     }
-    this.#options.loads.take(loadSource.domain(failureDomain), digest.inFlight);
+    const { loads, accounts } = this.#options;
+    const source = loadSource.domain(failureDomain);
+    loads.take(source, digest.inFlight);
+    accounts.takeTold(source, digest.accounts, digest.remembered);
     this.#takeNews(digest);
   }
 
   #takeFleetDigest(digest: FleetDigest): void {
-    const { peers, loads } = this.#options;
+    const { peers, loads, accounts } = this.#options;
     const { from, absent, regions, counted, inFlight } = digest;
     peers.takeTold(from, { absent, regions });
     const sequence = counted.get(this.#running?.own.name ?? '') ?? 0;
     loads.takeFleet(loadSource.fleet, inFlight, sequence);
+    accounts.takeFleet(digest.accounts, sequence, digest.remembered);
     this.#takeNews(digest);
   }
 
--- a/packages/entry/src/peers/peer-loads.ts
+++ b/packages/entry/src/peers/peer-loads.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@ferrylock/utils';
 import type { RoutingState } from '../routing/routing-state.js';
+import { addCounts, withoutCounts } from './counts.js';
 import type { InFlight } from './in-flight.js';
 import { SILENCE_MILLISECONDS } from './peer-table.js';
 
@@ -50,7 +51,7 @@
     const total: Record<string, number> = { ...more };
     for (const [source, { inFlight }] of this.#sources) {
       if (isCounted(source)) {
-        add(total, inFlight);
+        addCounts(total, inFlight);
       }
     }
     return total;
@@ -87,10 +88,7 @@
    * @param sequence - the report of this host that is counted in
    */
   takeFleet(source: string, inFlight: InFlight, sequence: number): void {
-    const others: Record<string, number> = { ...inFlight };
-    for (const [id, count] of Object.entries(this.#reported.get(sequence) ?? {})) {
-      others[id] = Math.max(0, (others[id] ?? 0) - count);
-    }
+    const others = withoutCounts(inFlight, this.#reported.get(sequence) ?? {});
     for (const part of [...this.#sources.keys()]) {
       this.drop(part);
     }
@@ -122,9 +120,3 @@
     return this.#state.serviceOfTarget(id)?.targets.get(id);
   }
 }
-
-function add(total: Record<string, number>, inFlight: InFlight): void {
-  for (const [id, count] of Object.entries(inFlight)) {
-    total[id] = (total[id] ?? 0) + count;
-  }
-}
--- a/packages/entry/src/peers/peer-messages.ts
+++ b/packages/entry/src/peers/peer-messages.ts
@@ -1,5 +1,6 @@
 import { z } from 'zod';
 import { fleetChangeSchema } from '../fleet/fleet-record.js';
+import { accountUsageSchema } from './account-rows.js';
 import { hostStatusesSchema } from './host-status.js';
 import { inFlightSchema } from './in-flight.js';
 import { decodeRows } from './rows.js';
@@ -38,6 +39,10 @@
   /** The newest answer of the store that the sender knows of; absent where there was none. */
   storeAnswer: storeAnswerSchema.optional(),
   inFlight: inFlightSchema,
+  /** How far back the sender knows what ran, in milliseconds. */
+  remembered: z.number().nonnegative().default(0),
+  /** Use of client accounts' limits; absent where there was none. */
+  accounts: accountUsageSchema.optional(),
 };
 
 /** Numbers of reports by the host's name, as rows of text. */
--- a/packages/entry/src/request/refusal.ts
+++ b/packages/entry/src/request/refusal.ts
@@ -9,6 +9,7 @@
   'unknown-route': 404,
   'unknown-key': 401,
   'no-common-region': 503,
+  'over-quota': 429,
   'bad-request': 400,
   'too-large': 413,
   'too-many-bytes-held': 503,
--- a/packages/entry/src/request/request-forwarder.ts
+++ b/packages/entry/src/request/request-forwarder.ts
@@ -1,8 +1,9 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { setImmediate } from 'node:timers/promises';
-import type { ServiceTargets, TargetState } from '@ferrylock/routing';
+import type { ClientAccount, QuotaRefusal, ServiceTargets, TargetState } from '@ferrylock/routing';
 import { ShareBalancer } from '@ferrylock/routing';
 import type { Clock } from '@ferrylock/utils';
+import type { AccountDuty } from '../accounts/account-duty.js';
 import type { RoutingState } from '../routing/routing-state.js';
 import type { AnswerWriter } from './answer-writer.js';
 import type { BodyFailure, BodyReader } from './body-reader.js';
@@ -39,6 +40,8 @@
   readonly clock: Clock;
   readonly events: EventLog;
   readonly state: RoutingState;
+  /** Keeps client accounts to their limits. */
+  readonly accounts: AccountDuty;
   readonly client: TargetClient;
   readonly dialect: HeaderDialect;
   readonly bodies: BodyReader;
@@ -53,6 +56,11 @@
   readonly largeHosts: () => readonly string[];
 }
 
+/** Why a request goes to no target, and whose it is, as far as that came out. */
+interface RefusedExchange extends Refusal {
+  readonly account?: ClientAccount | undefined;
+}
+
 /** A request on its way through targets. */
 interface Journey {
   readonly exchange: RoutedExchange;
@@ -79,7 +87,8 @@
     try {
       const routed = await this.#route(exchange);
       if ('reason' in routed) {
-        answers.refuse(exchange, routed);
+        const { account, ...refusal } = routed;
+        answers.refuse({ ...exchange, account }, refusal);
         return;
       }
       body = routed.body;
@@ -91,8 +100,8 @@
   }
 
   /** Finds the route and reads the body, or says why neither is to be had. */
-  async #route(exchange: CallerExchange): Promise<RoutedExchange | Refusal> {
-    const { state, bodies } = this.#options;
+  async #route(exchange: CallerExchange): Promise<RoutedExchange | RefusedExchange> {
+    const { state, bodies, accounts } = this.#options;
     const { request, demand, path, arrivedAt } = exchange;
     const { active } = state;
     if (active === undefined) {
@@ -114,10 +123,15 @@
     if (Number.isNaN(deadlineMilliseconds)) {
       return badRequest('expected a deadline in whole milliseconds');
     }
+    const refusal = account === undefined ? undefined : accounts.take(account);
+    if (refusal !== undefined) {
+      return { ...overQuota(refusal), account };
+    }
     const endAt = arrivedAt + Math.min(deadlineMilliseconds, route.timeoutMilliseconds);
     const body = await bodies.read(request, { mostBytes: active.limits.mostBodyBytes, endAt });
     if (body.isErr()) {
-      return bodyRefusal(body.error);
+      this.#settle(account, 0);
+      return { ...bodyRefusal(body.error), account };
     }
     return {
       ...exchange,
@@ -135,6 +149,7 @@
     const service = state.service(this.#shares.choose(exchange.route, keyOf(exchange)));
     if (service === undefined) {
       const detail = 'the service has no targets';
+      this.#settle(exchange.account, 0);
       answers.refuse(exchange, { reason: 'no-target', detail, ran: 'no' });
       return;
     }
@@ -163,6 +178,14 @@
     } finally {
       cancelTimer();
       exchange.response.off('close', onClose);
+      this.#settle(exchange.account, progress.runs);
+    }
+  }
+
+  /** Counts the runs of a request that was counted as one when it came. */
+  #settle(account: ClientAccount | undefined, runs: number): void {
+    if (account !== undefined) {
+      this.#options.accounts.settle(account, runs);
     }
   }
 
@@ -296,6 +319,12 @@
   return { reason: 'not-ready', detail, ran: 'no', retryAfterSeconds: NOT_READY_RETRY_SECONDS };
 }
 
+function overQuota({ retryAfterSeconds, ...figures }: QuotaRefusal): Refusal {
+  const { limit, usedHere, usedElsewhere } = figures;
+  const detail = `limit ${limit} in a window, used ${usedHere} here and ${usedElsewhere} elsewhere`;
+  return { reason: 'over-quota', detail, ran: 'no', retryAfterSeconds };
+}
+
 function badRequest(detail: string): Refusal {
   return { reason: 'bad-request', detail, ran: 'no' };
 }
--- a/packages/entry/src/request/request-progress.ts
+++ b/packages/entry/src/request/request-progress.ts
@@ -21,6 +21,8 @@
   readonly tried = new Set<string>();
   /** Sends that a target may have seen. */
   attempts = 0;
+  /** Sends that may have run it. */
+  runs = 0;
   /** Why it was ended from this side, if it was. */
   endedBy: EndCause | undefined;
   #connectFailures = 0;
@@ -43,11 +45,13 @@
         return this.#takeNotRun(verdict);
       case 'unknown':
         this.attempts++;
+        this.runs++;
         this.#mayHaveRun = true;
         this.#refusal = { ...verdict, ran: 'unknown' };
         return this.#kind === 'repeatable' ? this.#again() : 'give-up';
       case 'ended':
         this.attempts += verdict.wasSent ? 1 : 0;
+        this.runs += verdict.wasSent ? 1 : 0;
         this.#mayHaveRun ||= verdict.wasSent;
         return 'give-up';
     }
@@ -68,6 +72,7 @@
 
   #takeAnswer(answer: TargetAnswer): NextStep {
     this.attempts++;
+    this.runs++;
     if (!isServerError(answer.status) || this.#kind !== 'repeatable') {
       return 'deliver';
     }
--- a/packages/entry/src/routing/routing-state.ts
+++ b/packages/entry/src/routing/routing-state.ts
@@ -64,7 +64,7 @@
   readonly #evacuated = new Map<string, string>();
   readonly #vanished: VanishedTargets;
   readonly #overflows: OverflowAllowance;
-  readonly #limitsListeners: ((limits: CallerLimits) => void)[] = [];
+  readonly #listeners: ((configuration: RouteConfiguration) => void)[] = [];
   #active: ActiveConfiguration | undefined;
 
   constructor(options: RoutingStateOptions) {
@@ -94,9 +94,9 @@
     return this.#services.get(name);
   }
 
-  /** Calls back with the callers' limits of each configuration. */
-  onLimits(listener: (limits: CallerLimits) => void): void {
-    this.#limitsListeners.push(listener);
+  /** Calls back with each configuration that comes in force. */
+  onConfiguration(listener: (configuration: RouteConfiguration) => void): void {
+    this.#listeners.push(listener);
   }
 
   serviceOfTarget(id: string): ServiceTargets | undefined {
@@ -180,8 +180,8 @@
     for (const settings of services) {
       this.#serviceNamed(settings.name).settings = settings;
     }
-    for (const listener of this.#limitsListeners) {
-      listener(limits);
+    for (const listener of this.#listeners) {
+      listener(configuration);
     }
     this.#options.events.write({
       event: 'configuration',
--- /dev/null
+++ b/packages/entry/tests/accounts/account-duty.test.ts
@@ -0,0 +1,114 @@
+import type { ClientAccount } from '@ferrylock/routing';
+import { FakeClock } from '@ferrylock/test-utils';
+import { SeededRandom } from '@ferrylock/utils';
+import { describe, expect, it } from 'vitest';
+import { AccountDuty } from '../../src/accounts/account-duty.js';
+import { makeHostRecord } from '../fixtures.js';
+
+const ACCOUNT: ClientAccount = {
+  name: 'haulier',
+  keys: [],
+  requestsPerSecond: 40,
+  burst: 40,
+  priority: 0,
+  homeRegions: [],
+};
+
+/** `host-1` of a fleet of so many, of which it hears those that are named. */
+function makeDuty({ hosts = 1, isFirstStart = true, heard = new Set<string>() } = {}) {
+  const clock = new FakeClock();
+  const records = Array.from({ length: hosts }, (_, index) =>
+    makeHostRecord({ name: `host-${index + 1}` }),
+  );
+  const rushes = { count: 0 };
+  const duty = new AccountDuty({
+    clock,
+    random: new SeededRandom(1),
+    bound: { windowMilliseconds: 5_000, overage: 0.1, slack: 20 },
+    ownName: 'host-1',
+    isFirstStart,
+    hosts: () => records,
+    isHeard: ({ name }) => heard.has(name),
+    onRush: () => {
+      rushes.count++;
+    },
+  });
+  duty.quotas.setAccounts([ACCOUNT]);
+  /** Asks so many times; tells how many may run. */
+  const ask = (count: number): number => {
+    let ran = 0;
+    for (let asked = 0; asked < count; asked++) {
+      ran += duty.take(ACCOUNT) === undefined ? 1 : 0;
+    }
+    return ran;
+  };
+  return { clock, duty, ask, rushes, heard };
+}
+
+const other = (number: number, incarnation = 'first') => ({ name: `host-${number}`, incarnation });
+const used = (count: number) => ({ used: { haulier: count }, asked: { haulier: 1 } });
+
+describe('AccountDuty', () => {
+  it('gives the whole limit to a host that is alone', () => {
+    expect(makeDuty().ask(300)).toBeGreaterThanOrEqual(240);
+  });
+
+  it('gives a small part to a host that hears nobody', async () => {
+    const { clock, duty, ask } = makeDuty({ hosts: 10 });
+    await clock.advance(10_000);
+    duty.sweep();
+    expect(ask(300)).toBeLessThanOrEqual(240 / 10);
+  });
+
+  it('counts what other hosts tell, and what an earlier start of a host told', () => {
+    const { duty, heard } = makeDuty({ hosts: 3, heard: new Set(['host-2', 'host-3']) });
+    duty.sweep();
+    duty.takeHost(other(2), used(60), 5_000);
+    duty.takeHost(other(3), used(50), 5_000);
+    duty.takeHost(other(2, 'second'), used(5), 5_000);
+    expect(heard.size).toBe(2);
+    expect(duty.usage.others('haulier').used).toBe(60 + 50 + 5);
+  });
+
+  it('leaves room after a start for what ran before, until a host tells that remembers it', () => {
+    const { duty, ask } = makeDuty({
+      hosts: 2,
+      isFirstStart: false,
+      heard: new Set(['host-2']),
+    });
+    duty.sweep();
+    duty.takeHost(other(2), used(0), 0);
+    expect(ask(100)).toBeLessThan(20);
+    duty.takeHost(other(2), used(0), 5_000);
+    expect(ask(200)).toBeGreaterThan(180);
+  });
+
+  it('believes nothing told by few of many', async () => {
+    const { clock, duty, ask } = makeDuty({ hosts: 10, heard: new Set(['host-2']) });
+    await clock.advance(10_000);
+    duty.sweep();
+    duty.takeHost(other(2), used(0), 5_000);
+    expect(ask(300)).toBeLessThanOrEqual(240 / 10);
+  });
+
+  it('tells others at once of a rush near the limit, and not of ordinary use', () => {
+    const { duty, ask, rushes } = makeDuty();
+    ask(100);
+    expect(rushes.count).toBe(0);
+    ask(60);
+    expect(rushes.count).toBeGreaterThan(0);
+    const before = rushes.count;
+    duty.report(1);
+    ask(5);
+    expect(rushes.count).toBe(before);
+  });
+
+  it('takes its own part out of what is told of the whole fleet', () => {
+    const { duty, ask } = makeDuty();
+    ask(30);
+    duty.report(7);
+    ask(10);
+    duty.takeFleet(used(100), 7, 5_000);
+    expect(duty.usage.others('haulier').used).toBe(70);
+  });
+});
--- a/packages/entry/tests/fixtures.ts
+++ b/packages/entry/tests/fixtures.ts
@@ -1,10 +1,11 @@
 import type { RouteConfiguration, TargetRecord } from '@ferrylock/routing';
 import { NOTHING_LEFT_OUT } from '@ferrylock/routing';
 import { makeRoute, makeTargetRecord } from '@ferrylock/test-utils';
-import { silentLogger } from '@ferrylock/utils';
+import { SeededRandom, silentLogger } from '@ferrylock/utils';
 import type { Clock } from '@ferrylock/utils';
 import type { EntryEvent, EntryHostRecord, FleetChange, FleetView } from '../src/index.js';
 import { EventLog } from '../src/index.js';
+import { AccountDuty } from '../src/accounts/account-duty.js';
 import { RoutingState } from '../src/routing/routing-state.js';
 
 export function makeHostRecord(changes: Partial<EntryHostRecord> = {}): EntryHostRecord {
@@ -79,6 +80,20 @@
   });
 }
 
+/** Keeps accounts to their limits at a host that is alone. */
+export function makeAccountDuty(clock: Clock): AccountDuty {
+  return new AccountDuty({
+    clock,
+    random: new SeededRandom(1),
+    bound: { windowMilliseconds: 5_000, overage: 0.1, slack: 20 },
+    ownName: 'host-1',
+    isFirstStart: true,
+    hosts: () => [],
+    isHeard: () => true,
+    onRush: () => undefined,
+  });
+}
+
 /** An event log that keeps what is written to it. */
 export function keepEvents(): { log: EventLog; events: EntryEvent[] } {
   const events: EntryEvent[] = [];
--- /dev/null
+++ b/packages/entry/tests/peers/account-rows.test.ts
@@ -0,0 +1,29 @@
+import { describe, expect, it } from 'vitest';
+import { accountUsageSchema, encodeAccountUsage } from '../../src/peers/account-rows.js';
+
+describe('rows of accounts’ use', () => {
+  it('are read as they were written', () => {
+    const usage = { used: { haulier: 12, grower: 3 }, asked: { haulier: 5, grower: 0 } };
+    expect(accountUsageSchema.parse(encodeAccountUsage(usage))).toEqual(usage);
+  });
+
+  it('round parts of a request up', () => {
+    const usage = { used: { haulier: 1.2 }, asked: { haulier: 0.3 } };
+    expect(accountUsageSchema.parse(encodeAccountUsage(usage))).toEqual({
+      used: { haulier: 2 },
+      asked: { haulier: 1 },
+    });
+  });
+
+  it('cost nothing at rest', () => {
+    expect(encodeAccountUsage({ used: {}, asked: {} })).toBe('');
+  });
+
+  it.each(['haulier\tmany\t1', 'haulier', 'haulier\t-1\t1', ''])(
+    'are passed over where they make no sense: %j',
+    (row) => {
+      const text = `${row}\ngrower\t3\t0`;
+      expect(accountUsageSchema.parse(text).used).toEqual({ grower: 3 });
+    },
+  );
+});
--- a/packages/entry/tests/peers/message-writer.test.ts
+++ b/packages/entry/tests/peers/message-writer.test.ts
@@ -6,7 +6,13 @@
 import { fleetDigestSchema } from '../../src/peers/peer-messages.js';
 import { PeerTable } from '../../src/peers/peer-table.js';
 import { StoreAnswers } from '../../src/peers/store-answers.js';
-import { hostChange, keepEvents, makeHostRecord, makeRoutingState } from '../fixtures.js';
+import {
+  hostChange,
+  keepEvents,
+  makeHostRecord,
+  makeRoutingState,
+  makeAccountDuty,
+} from '../fixtures.js';
 
 /** A relay, `host-1`, that hears `host-2` and not `host-3`. */
 function makeWriter() {
@@ -26,6 +32,7 @@
     view,
     peers,
     loads: new PeerLoads(clock, makeRoutingState(clock, view, log)),
+    accounts: makeAccountDuty(clock),
     answers: new StoreAnswers(clock),
     own: makeHostRecord({ name: 'host-1' }),
     isLeaving: () => false,
--- a/packages/entry/tests/peers/peer-exchange.test.ts
+++ b/packages/entry/tests/peers/peer-exchange.test.ts
@@ -9,7 +9,13 @@
 import { PeerTable, SILENCE_MILLISECONDS } from '../../src/peers/peer-table.js';
 import { ReportSocket } from '../../src/peers/report-socket.js';
 import { ViewExchange } from '../../src/peers/view-exchange.js';
-import { keepEvents, makeHostRecord, makeRoutingState, targetChange } from '../fixtures.js';
+import {
+  keepEvents,
+  makeHostRecord,
+  makeRoutingState,
+  targetChange,
+  makeAccountDuty,
+} from '../fixtures.js';
 
 async function makeExchange() {
   const clock = new FakeClock();
@@ -27,6 +33,7 @@
     view,
     peers,
     loads: new PeerLoads(clock, state),
+    accounts: makeAccountDuty(clock),
     changes,
     storeAnsweredAt,
     isLeaving: () => false,
--- /dev/null
+++ b/packages/routing/src/accounts/account-quotas.ts
@@ -0,0 +1,98 @@
+import type { Clock, Random } from '@ferrylock/utils';
+import { AccountQuota } from './account-quota.js';
+import type { FleetKnowledge, OthersUsage, QuotaBound, QuotaRefusal } from './account-quota.js';
+import type { ClientAccount } from './client-account.js';
+
+/** Requests by account. */
+export type AccountCounts = Readonly<Record<string, number>>;
+
+/** One host's use of accounts' limits, as it tells others. */
+export interface AccountUsage {
+  /** Requests that it let run in the last window. */
+  readonly used: AccountCounts;
+  /** Requests a second that came to it. */
+  readonly asked: AccountCounts;
+}
+
+export interface AccountQuotasOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly bound: QuotaBound;
+  /** What is known here of an account at all other entry hosts. */
+  readonly others: (account: string) => OthersUsage;
+  readonly fleet: () => FleetKnowledge;
+}
+
+/** What each account uses of its limit at this host. */
+export class AccountQuotas {
+  readonly #options: AccountQuotasOptions;
+  readonly #quotas = new Map<string, AccountQuota>();
+
+  constructor(options: AccountQuotasOptions) {
+    this.#options = options;
+  }
+
+  /** Takes over the accounts of a configuration; what one has used stays. */
+  setAccounts(accounts: readonly ClientAccount[]): void {
+    const { clock, random, bound } = this.#options;
+    const names = new Set(accounts.map(({ name }) => name));
+    for (const name of this.#quotas.keys()) {
+      if (!names.has(name)) {
+        this.#quotas.delete(name);
+      }
+    }
+    const limited = accounts.filter(({ requestsPerSecond }) => requestsPerSecond > 0);
+    for (const account of limited) {
+      const known = this.#quotas.get(account.name);
+      if (known === undefined) {
+        this.#quotas.set(account.name, new AccountQuota(account, clock, random, bound));
+      } else {
+        known.account = account;
+      }
+    }
+  }
+
+  /**
+   * Lets a request of an account run, or tells why not.
+   *
+   * @returns undefined where it may run
+   */
+  take({ name, requestsPerSecond }: ClientAccount): QuotaRefusal | undefined {
+    const { others, fleet } = this.#options;
+    return requestsPerSecond === 0
+      ? undefined
+      : this.#quotas.get(name)?.take(others(name), fleet());
+  }
+
+  /** Counts in how often a request that was let run came to run. */
+  settle({ name, requestsPerSecond }: ClientAccount, runs: number): void {
+    if (requestsPerSecond > 0 && runs !== 1) {
+      this.#quotas.get(name)?.settle(runs - 1);
+    }
+  }
+
+  /** What an account may use in a window; undefined where nothing bounds it. */
+  limitOf(account: string): number | undefined {
+    return this.#quotas.get(account)?.limit;
+  }
+
+  /** What an account used of it at this host. */
+  usedBy(account: string): number | undefined {
+    return this.#quotas.get(account)?.used;
+  }
+
+  /** What this host has used and is asked for; accounts without any are left out. */
+  get usage(): AccountUsage {
+    const used: Record<string, number> = {};
+    const asked: Record<string, number> = {};
+    for (const [name, quota] of this.#quotas) {
+      if (quota.used > 0) {
+        used[name] = quota.used;
+      }
+      if (quota.askedPerSecond > 0) {
+        asked[name] = quota.askedPerSecond;
+      }
+    }
+    return { used, asked };
+  }
+}
--- a/packages/routing/src/divided-limits.ts
+++ b/packages/routing/src/divided-limits.ts
@@ -1,41 +1,8 @@
 import type { Clock } from '@ferrylock/utils';
+import { SlidingCount } from './sliding-count.js';
 
 /** Part of each shared limit that is left unused, for clocks that differ and messages under way. */
 const MARGIN = 0.8;
-/** Buckets that a window is counted in. */
-const BUCKETS = 10;
-
-/** Counts what happened in the last stretch of time, in buckets. */
-export class SlidingCount {
-  readonly #counts = new Array<number>(BUCKETS).fill(0);
-  #bucket = 0;
-
-  constructor(
-    readonly clock: Clock,
-    readonly windowMilliseconds: number,
-  ) {}
-
-  add(count = 1): void {
-    this.#advance();
-    const index = this.#bucket % BUCKETS;
-    this.#counts[index] = (this.#counts[index] ?? 0) + count;
-  }
-
-  get total(): number {
-    this.#advance();
-    return this.#counts.reduce((sum, count) => sum + count, 0);
-  }
-
-  #advance(): void {
-    const bucket = Math.floor(this.clock.now() / (this.windowMilliseconds / BUCKETS));
-    const steps = Math.min(BUCKETS, bucket - this.#bucket);
-    for (let step = 1; step <= steps; step++) {
-      this.#counts[(this.#bucket + step) % BUCKETS] = 0;
-    }
-    this.#bucket = bucket;
-  }
-}
-
 /** A bound on what retries add to a service's arrivals, over all entry hosts together. */
 export interface RetryBound {
   /** Retries for each request. */
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,3 +1,18 @@
+export { AccountQuota } from './accounts/account-quota.js';
+export type {
+  FleetKnowledge,
+  OthersUsage,
+  QuotaBound,
+  QuotaRefusal,
+} from './accounts/account-quota.js';
+export { AccountQuotas } from './accounts/account-quotas.js';
+export type {
+  AccountCounts,
+  AccountQuotasOptions,
+  AccountUsage,
+} from './accounts/account-quotas.js';
+export { forgottenShare } from './accounts/forgotten-share.js';
+export { HeldCounts } from './accounts/held-counts.js';
 export { AccountTable } from './accounts/account-table.js';
 export type { AdmissionFailure, AdmittedRoute } from './accounts/account-table.js';
 export { clientAccountSchema, clientAccountsSchema } from './accounts/client-account.js';
@@ -5,7 +20,7 @@
 export { chooseShare } from './choose-share.js';
 export { mostLoadPerSlot } from './most-load-per-slot.js';
 export type { LoadBoundInput } from './most-load-per-slot.js';
-export { RetryAllowance, SlidingCount } from './divided-limits.js';
+export { RetryAllowance } from './divided-limits.js';
 export type { RetryBound } from './divided-limits.js';
 export {
   callerLimitsSchema,
@@ -29,6 +44,7 @@
 export type { LeftOut, Mechanism } from './mechanisms.js';
 export { RegionPlacement } from './region-placement.js';
 export type { RegionPlacementOptions, RegionRoom } from './region-placement.js';
+export { SlidingCount } from './sliding-count.js';
 export { RequestRate } from './request-rate.js';
 export { RoundTrips } from './round-trips.js';
 export { ServiceTargets } from './service-targets.js';
--- a/packages/routing/src/request-rate.ts
+++ b/packages/routing/src/request-rate.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@ferrylock/utils';
-import { SlidingCount } from './divided-limits.js';
+import { SlidingCount } from './sliding-count.js';
 
-/** Stretch that a rate is taken over: some hundred requests of a host at ordinary load. */
+/** Stretch that a rate is taken over where nothing else is said: some hundred requests of a host at ordinary load. */
 const WINDOW_MILLISECONDS = 2_000;
 /** Shortest stretch that a rate is taken over. */
 const LEAST_MILLISECONDS = 100;
@@ -19,9 +19,12 @@
   /** When the very first request came. */
   #firstAt: number | undefined;
 
-  constructor(clock: Clock) {
+  constructor(
+    clock: Clock,
+    readonly windowMilliseconds = WINDOW_MILLISECONDS,
+  ) {
     this.#clock = clock;
-    this.#count = new SlidingCount(clock, WINDOW_MILLISECONDS);
+    this.#count = new SlidingCount(clock, windowMilliseconds);
   }
 
   record(): void {
@@ -32,8 +35,8 @@
   get perSecond(): number {
     const since = this.#clock.now() - (this.#firstAt ?? -Infinity);
     const { total } = this.#count;
-    const whole = (total * MILLISECONDS_PER_SECOND) / WINDOW_MILLISECONDS;
-    if (since >= WINDOW_MILLISECONDS) {
+    const whole = (total * MILLISECONDS_PER_SECOND) / this.windowMilliseconds;
+    if (since >= this.windowMilliseconds) {
       return whole;
     }
     // The shorter stretch begins with a request, which therefore tells nothing of the rate.
--- a/packages/routing/src/shift-bound.ts
+++ b/packages/routing/src/shift-bound.ts
@@ -1,6 +1,6 @@
 import { stableHash } from '@ferrylock/utils';
 import type { Clock } from '@ferrylock/utils';
-import { SlidingCount } from './divided-limits.js';
+import { SlidingCount } from './sliding-count.js';
 
 const HASH_RANGE = 0x1_0000_0000;
 /** Part of the bound that is for keys that change their region. */
--- /dev/null
+++ b/packages/routing/tests/sliding-count.test.ts
@@ -0,0 +1,30 @@
+import { FakeClock } from '@ferrylock/test-utils';
+import { describe, expect, it } from 'vitest';
+import { SlidingCount } from '../src/index.js';
+
+describe('SlidingCount', () => {
+  it('counts at least what came in the window, and at most one bucket more', async () => {
+    const clock = new FakeClock();
+    const count = new SlidingCount(clock, 1_000, 10);
+    const came: number[] = [];
+    for (let step = 0; step < 300; step++) {
+      await clock.advance(37);
+      came.push(clock.now());
+      count.add();
+      const inLast = (milliseconds: number): number =>
+        came.filter((at) => at > clock.now() - milliseconds).length;
+      expect(count.total).toBeGreaterThanOrEqual(inLast(900));
+      expect(count.total).toBeLessThanOrEqual(inLast(1_000) + 1);
+    }
+  });
+
+  it('takes back what did not happen, and forgets all after a silence', async () => {
+    const clock = new FakeClock();
+    const count = new SlidingCount(clock, 1_000);
+    count.add(3);
+    count.add(-1);
+    expect(count.total).toBe(2);
+    await clock.advance(5_000);
+    expect(count.total).toBe(0);
+  });
+});
--- a/packages/test-utils/src/index.ts
+++ b/packages/test-utils/src/index.ts
@@ -17,3 +17,7 @@
 export type { NetworkCounts, NetworkFaults } from './memory-network.js';
 export { makeRoute, makeTargetRecord } from './routes-and-targets.js';
 export { PausableClock, ProcessPause } from './process-pause.js';
+export { QuotaFleet } from './quotas/quota-fleet.js';
+export type { QuotaFleetOptions } from './quotas/quota-fleet.js';
+export type { MakeQuotaWay, QuotaWay } from './quotas/quota-way.js';
+export { toldUse } from './quotas/told-use.js';
--- /dev/null
+++ b/packages/test-utils/src/quotas/quota-way.ts
@@ -0,0 +1,34 @@
+import type { ClientAccount, FleetKnowledge, QuotaBound } from '@ferrylock/routing';
+import type { Clock, Random } from '@ferrylock/utils';
+
+/** What one emulated host tells of an account. */
+export interface ToldUsage {
+  readonly used: number;
+  readonly askedPerSecond: number;
+}
+
+/** What one emulated host knows when a request comes. */
+export interface QuotaSight {
+  /** All other hosts together, as told last. */
+  readonly others: ToldUsage;
+  readonly fleet: FleetKnowledge;
+  /** Hosts that have callers of the account. */
+  readonly askedHosts: number;
+}
+
+/** One way of keeping an account's limit over many hosts; one object for each host's process. */
+export interface QuotaWay {
+  setAccount(account: ClientAccount): void;
+  /** Whether a request may run. */
+  take(sight: QuotaSight): boolean;
+  readonly told: ToldUsage;
+}
+
+export interface QuotaWayOptions {
+  readonly account: ClientAccount;
+  readonly bound: QuotaBound;
+  readonly clock: Clock;
+  readonly random: Random;
+}
+
+export type MakeQuotaWay = (options: QuotaWayOptions) => QuotaWay;
