--- a/packages/entry/src/accounts/account-duty.ts
+++ b/packages/entry/src/accounts/account-duty.ts
@@ -33,6 +33,9 @@
  */
 const TOLD_AT_ONCE = 0.045;
 
+/** Shortest time between two messages that are sent for a rush, so that these cost little. */
+const LEAST_BETWEEN_RUSHES_MILLISECONDS = 100;
+
 export interface AccountDutyOptions {
   readonly clock: Clock;
   readonly random: Random;
@@ -55,8 +58,9 @@
   readonly quotas: AccountQuotas;
   readonly usage: PeerUsage;
   readonly #options: AccountDutyOptions;
-  /** Growth of accounts' use that was not told yet. */
-  readonly #growth = new Map<string, number>();
+  /** Use of accounts by the whole fleet, as it was when this host told of it last. */
+  readonly #toldTotal = new Map<string, number>();
+  #rushToldAt = -Infinity;
   /** Since when what ran anywhere is remembered by some host that is heard. */
   #rememberedSince: number;
   /** The last start of each host that told of itself. */
@@ -93,7 +97,7 @@
   take(account: ClientAccount): QuotaRefusal | undefined {
     const refusal = this.quotas.take(account);
     if (refusal === undefined) {
-      this.#grow(account.name, 1);
+      this.#tellRush(account.name);
     }
     return refusal;
   }
@@ -119,7 +123,9 @@
     const before = this.usage.take(source, told);
     this.#takeNews(rememberedMilliseconds);
     for (const [account, used] of Object.entries(told?.used ?? {})) {
-      this.#grow(account, used - (before[account] ?? 0));
+      if (used > (before[account] ?? 0) + 1) {
+        this.#tellRush(account);
+      }
     }
   }
 
@@ -135,8 +141,12 @@
 
   /** This host's own use, to be told under a number; what grew until now is told with it. */
   report(sequence: number): AccountUsage {
-    this.#growth.clear();
-    return this.usage.report(sequence);
+    const usage = this.usage.report(sequence);
+    this.#toldTotal.clear();
+    for (const account of Object.keys(usage.used)) {
+      this.#toldTotal.set(account, this.#totalOf(account));
+    }
+    return usage;
   }
 
   /** To be called a few times a second: looks who is heard. */
@@ -174,14 +184,18 @@
     this.#rememberedSince = Math.min(this.#rememberedSince, rememberedSince);
   }
 
-  #grow(account: string, count: number): void {
+  /** Has others told at once where an account's use nears its limit faster than the rounds of reports tell. */
+  #tellRush(account: string): void {
     const limit = this.quotas.limitOf(account);
-    if (limit === undefined || count <= 0) {
+    const now = this.#options.clock.now();
+    if (limit === undefined || now - this.#rushToldAt < LEAST_BETWEEN_RUSHES_MILLISECONDS) {
       return;
     }
-    const growth = (this.#growth.get(account) ?? 0) + count;
-    this.#growth.set(account, growth);
-    if (growth > 1 + TOLD_AT_ONCE * limit && this.#totalOf(account) > NEAR_LIMIT * limit) {
+    const total = this.#totalOf(account);
+    const told = this.#toldTotal.get(account) ?? total;
+    this.#toldTotal.set(account, told);
+    if (total > NEAR_LIMIT * limit && total - told > 1 + TOLD_AT_ONCE * limit) {
+      this.#rushToldAt = now;
       this.#options.onRush();
     }
   }
--- a/packages/entry/tests/accounts/account-duty.test.ts
+++ b/packages/entry/tests/accounts/account-duty.test.ts
@@ -91,16 +91,22 @@
     expect(ask(300)).toBeLessThanOrEqual(240 / 10);
   });
 
-  it('tells others at once of a rush near the limit, and not of ordinary use', () => {
-    const { duty, ask, rushes } = makeDuty();
+  it('tells others at once of a rush near the limit, and not of ordinary use', async () => {
+    const { clock, duty, ask, rushes } = makeDuty();
+    await clock.advance(1_000);
+    duty.sweep();
     ask(100);
     expect(rushes.count).toBe(0);
     ask(60);
-    expect(rushes.count).toBeGreaterThan(0);
-    const before = rushes.count;
+    expect(rushes.count).toBe(1);
+    ask(20);
+    expect(rushes.count).toBe(1);
     duty.report(1);
+    await clock.advance(100);
     ask(5);
-    expect(rushes.count).toBe(before);
+    expect(rushes.count).toBe(1);
+    ask(10);
+    expect(rushes.count).toBe(2);
   });
 
   it('takes its own part out of what is told of the whole fleet', () => {
