--- a/packages/entry/src/accounts/account-duty.ts
+++ b/packages/entry/src/accounts/account-duty.ts
@@ -25,6 +25,8 @@
  * have: half of a fleet that starts again beside a busy half then uses what is left on top of the limit.
  */
 const BLIND_PARTS = 3;
+/** Time between two looks at who is heard; hosts count as silent after a longer time. */
+const LOOK_MILLISECONDS = 1_000;
 /** Part of an account's limit from which others are told at once how its use grows. */
 const NEAR_LIMIT = 0.65;
 /**
@@ -66,6 +68,9 @@
   /** The last start of each host that told of itself. */
   readonly #sourceOfHost = new Map<string, string>();
   #hearsMost = true;
+  #isAlone = true;
+  #lookedAt = -Infinity;
+  #blindShareOf: readonly EntryHostRecord[] | undefined;
   /** When the use of most other hosts was told last. */
   #newsAt = -Infinity;
   #blindShare = 1;
@@ -120,12 +125,13 @@
 
   /** Takes what a source of reports tells. */
   takeTold(source: string, told: AccountUsage | undefined, rememberedMilliseconds: number): void {
-    const before = this.usage.take(source, told);
+    const grown = Object.entries(told?.used ?? {}).filter(
+      ([account, used]) => used > this.usage.usedOf(source, account) + 1,
+    );
+    this.usage.take(source, told);
     this.#takeNews(rememberedMilliseconds);
-    for (const [account, used] of Object.entries(told?.used ?? {})) {
-      if (used > (before[account] ?? 0) + 1) {
-        this.#tellRush(account);
-      }
+    for (const [account] of grown) {
+      this.#tellRush(account);
     }
   }
 
@@ -152,23 +158,35 @@
   /** To be called a few times a second: looks who is heard. */
   sweep(): void {
     const { clock, hosts, ownName, isHeard } = this.#options;
+    const now = clock.now();
+    this.usage.sweep();
+    if (!this.quotas.isNeeded || now - this.#lookedAt < LOOK_MILLISECONDS) {
+      return;
+    }
+    this.#lookedAt = now;
     const registered = hosts();
     const others = registered.filter(({ name }) => name !== ownName);
     const heard = others.filter((host) => isHeard(host)).length;
     this.#hearsMost = heard + 1 >= FEWEST_HEARD * (others.length + 1);
-    if (others.length === 0) {
-      this.#newsAt = clock.now();
+    this.#isAlone = others.length === 0;
+    this.#setBlindShare(registered);
+  }
+
+  #setBlindShare(registered: readonly EntryHostRecord[]): void {
+    if (registered === this.#blindShareOf) {
+      return;
     }
+    this.#blindShareOf = registered;
     const large = largeHosts(registered, (host) => host);
-    const isLarge = large.some(({ name }) => name === ownName);
-    this.#blindShare = 1 / (BLIND_PARTS * Math.max(1, isLarge ? large.length : registered.length));
-    this.usage.sweep();
+    const isLarge = large.some(({ name }) => name === this.#options.ownName);
+    const hosts = isLarge ? large.length : registered.length;
+    this.#blindShare = 1 / (BLIND_PARTS * Math.max(1, hosts));
   }
 
   get #fleet(): FleetKnowledge {
     const { clock, bound } = this.#options;
     const { windowMilliseconds } = bound;
-    const deafMilliseconds = clock.now() - this.#newsAt;
+    const deafMilliseconds = this.#isAlone ? 0 : clock.now() - this.#newsAt;
     const known = this.rememberedMilliseconds + LEAST_DOWN_MILLISECONDS;
     return {
       deafMilliseconds,
--- a/packages/entry/src/accounts/peer-usage.ts
+++ b/packages/entry/src/accounts/peer-usage.ts
@@ -8,6 +8,9 @@
 /** Own reports that are kept until a relay has counted them in. */
 const KEPT_REPORTS = 16;
 
+/** A sum over sources holds for this long: far less than the time that news takes. */
+const REMEMBERED_MILLISECONDS = 50;
+
 const NOTHING: AccountUsage = { used: {}, asked: {} };
 
 /** What a source asked for last. */
@@ -31,6 +34,8 @@
   readonly #options: PeerUsageOptions;
   readonly #used: HeldCounts;
   readonly #asked = new Map<string, ToldAsked>();
+  /** Sums that were made a moment ago. */
+  readonly #others = new Map<string, OthersUsage & { readonly at: number }>();
   /** This host's last reports, by their number. */
   readonly #reported = new Map<number, AccountUsage>();
 
@@ -47,12 +52,14 @@
     return usage;
   }
 
-  /** Takes what a source tells; returns what it told before. */
-  take(source: string, usage: AccountUsage = NOTHING): AccountUsage['used'] {
-    const before = this.#used.lastOf(source);
+  take(source: string, usage: AccountUsage = NOTHING): void {
     this.#used.take(source, usage.used);
     this.#asked.set(source, { asked: usage.asked, toldAt: this.#options.clock.now() });
-    return before;
+  }
+
+  /** Requests of an account's window that a source told last. */
+  usedOf(source: string, account: string): number {
+    return this.#used.lastOf(source, account);
   }
 
   /** A source's process has ended. */
@@ -88,10 +95,21 @@
   }
 
   /**
-   * All other hosts together. Of a host that has just become a relay, or is one no longer, the parts or the
-   * whole are old: the larger of the two counts.
+   * All other hosts together, as of a moment ago. Of a host that has just become a relay, or is one no longer,
+   * the parts or the whole are old: the larger of the two counts.
    */
   others(account: string): OthersUsage {
+    const now = this.#options.clock.now();
+    const known = this.#others.get(account);
+    if (known !== undefined && now - known.at < REMEMBERED_MILLISECONDS) {
+      return known;
+    }
+    const summed = { ...this.#sumOthers(account), at: now };
+    this.#others.set(account, summed);
+    return summed;
+  }
+
+  #sumOthers(account: string): OthersUsage {
     const isFleet = (source: string): boolean => source === loadSource.fleet;
     return {
       used: Math.max(this.#used.of(account, loadSource.isPart), this.#used.of(account, isFleet)),
--- a/packages/routing/src/accounts/account-quotas.ts
+++ b/packages/routing/src/accounts/account-quotas.ts
@@ -27,6 +27,8 @@
 export class AccountQuotas {
   readonly #options: AccountQuotasOptions;
   readonly #quotas = new Map<string, AccountQuota>();
+  /** Accounts of which this host had requests lately: the others cost nothing to tell. */
+  readonly #active = new Set<string>();
 
   constructor(options: AccountQuotasOptions) {
     this.#options = options;
@@ -58,10 +60,12 @@
    * @returns undefined where it may run
    */
   take({ name, requestsPerSecond }: ClientAccount): QuotaRefusal | undefined {
+    if (requestsPerSecond === 0) {
+      return undefined;
+    }
     const { others, fleet } = this.#options;
-    return requestsPerSecond === 0
-      ? undefined
-      : this.#quotas.get(name)?.take(others(name), fleet());
+    this.#active.add(name);
+    return this.#quotas.get(name)?.take(others(name), fleet());
   }
 
   /** Counts in how often a request that was let run came to run. */
@@ -71,6 +75,11 @@
     }
   }
 
+  /** Whether any account has a limit. */
+  get isNeeded(): boolean {
+    return this.#quotas.size > 0;
+  }
+
   /** What an account may use in a window; undefined where nothing bounds it. */
   limitOf(account: string): number | undefined {
     return this.#quotas.get(account)?.limit;
@@ -85,12 +94,18 @@
   get usage(): AccountUsage {
     const used: Record<string, number> = {};
     const asked: Record<string, number> = {};
-    for (const [name, quota] of this.#quotas) {
-      if (quota.used > 0) {
-        used[name] = quota.used;
+    for (const name of this.#active) {
+      const quota = this.#quotas.get(name);
+      const ofWindow = quota?.used ?? 0;
+      const ofSecond = quota?.askedPerSecond ?? 0;
+      if (ofWindow > 0) {
+        used[name] = ofWindow;
+      }
+      if (ofSecond > 0) {
+        asked[name] = ofSecond;
       }
-      if (quota.askedPerSecond > 0) {
-        asked[name] = quota.askedPerSecond;
+      if (ofWindow <= 0 && ofSecond === 0) {
+        this.#active.delete(name);
       }
     }
     return { used, asked };
--- a/packages/routing/src/accounts/held-counts.ts
+++ b/packages/routing/src/accounts/held-counts.ts
@@ -8,16 +8,16 @@
 const CHANCE_DEVIATIONS = 3;
 const CHANCE_REQUESTS = 2;
 
-/** A count as one source told it. */
-interface Held {
+/** What a source told before it forgot, and until when that is in the window. */
+interface Forgotten {
   readonly value: number;
-  /** While the source has forgotten: what it told before, and until when that is in the window. */
-  readonly forgotten: { readonly value: number; readonly until: number } | undefined;
+  readonly until: number;
 }
 
 /** What one source told. */
 interface Source {
-  readonly counts: Map<string, Held>;
+  counts: AccountCounts;
+  readonly forgotten: Map<string, Forgotten>;
   toldAt: number;
   /** Its process has ended: nothing comes on top. */
   isEnded: boolean;
@@ -43,16 +43,22 @@
     const now = this.#clock.now();
     const source = this.#sources.get(name) ?? newSource(now);
     this.#sources.set(name, source);
-    for (const account of new Set([...source.counts.keys(), ...Object.keys(told)])) {
-      const held = this.#hold(source, account, told[account] ?? 0, now);
-      if (held.value > 0) {
-        source.counts.set(account, held);
-      } else {
-        source.counts.delete(account);
+    for (const account of Object.keys(source.counts)) {
+      const before = source.counts[account] ?? 0;
+      const least = before - CHANCE_DEVIATIONS * Math.sqrt(before) - CHANCE_REQUESTS;
+      if ((told[account] ?? 0) < least && !source.forgotten.has(account)) {
+        const until = source.toldAt + this.#windowMilliseconds;
+        source.forgotten.set(account, { value: before, until });
       }
     }
+    source.counts = told;
     source.toldAt = now;
     source.isEnded = false;
+    for (const [account, { value, until }] of source.forgotten) {
+      if (now >= until || (told[account] ?? 0) >= value) {
+        source.forgotten.delete(account);
+      }
+    }
   }
 
   /** A source's process has ended: nothing comes on top of what it told last. */
@@ -63,10 +69,9 @@
     }
   }
 
-  /** What a source told last. */
-  lastOf(name: string): Record<string, number> {
-    const counts = this.#sources.get(name)?.counts ?? new Map<string, Held>();
-    return Object.fromEntries([...counts].map(([account, { value }]) => [account, value]));
+  /** What a source told last of an account. */
+  lastOf(name: string, account: string): number {
+    return this.#sources.get(name)?.counts[account] ?? 0;
   }
 
   /** What all sources of a kind tell, by account. */
@@ -75,8 +80,8 @@
     for (const [name, source] of this.#sources) {
       if (isCounted(name)) {
         const part = this.#partLeft(source);
-        for (const [account, { value }] of source.counts) {
-          total[account] = (total[account] ?? 0) + part * value;
+        for (const account of accountsOf(source)) {
+          total[account] = (total[account] ?? 0) + part * countOf(source, account);
         }
       }
     }
@@ -87,7 +92,7 @@
   of(account: string, isCounted: (source: string) => boolean): number {
     let total = 0;
     for (const [name, source] of this.#sources) {
-      const value = source.counts.get(account)?.value ?? 0;
+      const value = countOf(source, account);
       total += value > 0 && isCounted(name) ? value * this.#partLeft(source) : 0;
     }
     return total;
@@ -103,24 +108,6 @@
     }
   }
 
-  #hold({ counts, toldAt }: Source, account: string, told: number, now: number): Held {
-    const before = counts.get(account);
-    if (before === undefined) {
-      return { value: told, forgotten: undefined };
-    }
-    const least = before.value - CHANCE_DEVIATIONS * Math.sqrt(before.value) - CHANCE_REQUESTS;
-    const isForgetting = before.forgotten !== undefined || told < least;
-    if (!isForgetting) {
-      return { value: told, forgotten: undefined };
-    }
-    const forgotten = before.forgotten ?? {
-      value: before.value,
-      until: toldAt + this.#windowMilliseconds,
-    };
-    const value = Math.max(told, now < forgotten.until ? forgotten.value : 0);
-    return { value, forgotten: value > told ? forgotten : undefined };
-  }
-
   /** Part of what a source told last that still counts. */
   #partLeft({ toldAt, isEnded }: Source): number {
     const silent = (this.#clock.now() - toldAt) / this.#windowMilliseconds;
@@ -131,6 +118,15 @@
   }
 }
 
+function accountsOf({ counts, forgotten }: Source): Iterable<string> {
+  const told = Object.keys(counts);
+  return forgotten.size === 0 ? told : new Set([...told, ...forgotten.keys()]);
+}
+
+function countOf({ counts, forgotten }: Source, account: string): number {
+  return Math.max(counts[account] ?? 0, forgotten.get(account)?.value ?? 0);
+}
+
 function newSource(now: number): Source {
-  return { counts: new Map(), toldAt: now, isEnded: false };
+  return { counts: {}, forgotten: new Map(), toldAt: now, isEnded: false };
 }
