--- a/packages/entry/tests/accounts/account-fleet.test.ts
+++ b/packages/entry/tests/accounts/account-fleet.test.ts
@@ -47,7 +47,7 @@
 }
 
 describe('client accounts in a fleet', { timeout: TEST_MILLISECONDS }, () => {
-  const account = ACCOUNTS[0] as ClientAccount;
+  const account = makeAccount(0);
 
   it('are known by their use to every host within one and a half seconds', async () => {
     const { clock, fleet } = await makeFleet(ACCOUNTS);
