--- a/packages/entry/tests/accounts/account-fleet.test.ts
+++ b/packages/entry/tests/accounts/account-fleet.test.ts
@@ -10,14 +10,18 @@
 const SETTLE_MILLISECONDS = 4_000;
 const TEST_MILLISECONDS = 60_000;
 
-const ACCOUNTS = Array.from({ length: 80 }, (_, index): ClientAccount => ({
-  name: `account-${index}`,
-  keys: [],
-  requestsPerSecond: 40,
-  burst: 40,
-  priority: 0,
-  homeRegions: [],
-}));
+function makeAccount(index: number): ClientAccount {
+  return {
+    name: `account-${index}`,
+    keys: [],
+    requestsPerSecond: 40,
+    burst: 40,
+    priority: 0,
+    homeRegions: [],
+  };
+}
+
+const ACCOUNTS = Array.from({ length: 80 }, (_, index) => makeAccount(index));
 
 async function makeFleet(accounts?: readonly ClientAccount[]) {
   const clock = new FakeClock();
