--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -1,3 +1,4 @@
+import { accountsBench } from './benches/accounts.js';
 import { capacity } from './benches/capacity.js';
 import { choice } from './benches/choice.js';
 import { drain } from './benches/drain.js';
@@ -14,6 +15,7 @@
 
 /** Every bench by its name on the command line. */
 export const benches: Readonly<Record<string, Bench>> = {
+  accounts: accountsBench,
   capacity,
   choice,
   drain,
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,3 +1,5 @@
+export { AccountDuty } from './accounts/account-duty.js';
+export type { AccountDutyOptions } from './accounts/account-duty.js';
 export { splitAddress } from './address.js';
 export type { HostAndPort } from './address.js';
 export type { DirectoryAnswer } from './directory.js';
