--- a/packages/bench/src/benches/accounts.ts
+++ b/packages/bench/src/benches/accounts.ts
@@ -1,7 +1,6 @@
 import { AccountDuty } from '@ferrylock/entry';
-import type { ClientAccount } from '@ferrylock/routing';
 import { AccountTable } from '@ferrylock/routing';
-import { makeRoute } from '@ferrylock/test-utils';
+import { makeAccount, makeRoute } from '@ferrylock/test-utils';
 import { SystemClock, systemRandom } from '@ferrylock/utils';
 import { measureHostProcess } from '../fleet/measure-host-process.js';
 import type { Bench } from '../report.js';
@@ -16,14 +15,15 @@
 const SOURCES = 18;
 const MOST_OF_A_REQUEST = 0.03;
 
-const accounts = Array.from({ length: ACCOUNTS }, (_, index): ClientAccount => ({
-  name: `account-${index}`,
-  keys: Array.from({ length: KEYS_PER_ACCOUNT }, (_key, key) => `key-${index}-${key}`),
-  requestsPerSecond: 1_000_000,
-  burst: 1_000_000,
-  priority: index % 2,
-  homeRegions: index % 20 === 0 ? ['region-0'] : [],
-}));
+const accounts = Array.from({ length: ACCOUNTS }, (_, index) =>
+  makeAccount({
+    name: `account-${index}`,
+    keys: Array.from({ length: KEYS_PER_ACCOUNT }, (_key, key) => `key-${index}-${key}`),
+    requestsPerSecond: 1_000_000,
+    priority: index % 2,
+    homeRegions: index % 20 === 0 ? ['region-0'] : [],
+  }),
+);
 const routes = Array.from({ length: ROUTES }, (_, index) => makeRoute({ name: `route-${index}` }));
 
 /** Milliseconds of processor time that some work takes. */
--- a/packages/bench/src/benches/quotas.ts
+++ b/packages/bench/src/benches/quotas.ts
@@ -1,5 +1,4 @@
-import type { ClientAccount } from '@ferrylock/routing';
-import { QuotaFleet, toldUse } from '@ferrylock/test-utils';
+import { makeLimitedAccount, QuotaFleet, toldUse } from '@ferrylock/test-utils';
 import type { MakeQuotaWay } from '@ferrylock/test-utils';
 import { demandParts, equalParts } from '../quotas/baseline-ways.js';
 import { makeKeeperWay } from '../quotas/keeper-way.js';
@@ -9,14 +8,7 @@
 const SIZES = [12, 75, 195, 300];
 const BOUND = { windowMilliseconds: 5_000, overage: 0.1, slack: 20 };
 const PER_SECOND = 40;
-const ACCOUNT: ClientAccount = {
-  name: 'account',
-  keys: [],
-  requestsPerSecond: PER_SECOND,
-  burst: PER_SECOND,
-  priority: 0,
-  homeRegions: [],
-};
+const ACCOUNT = makeLimitedAccount(PER_SECOND);
 const MILLISECONDS_PER_SECOND = 1_000;
 /** Requests of a window, and in a second of a long time, that the account may have. */
 const LIMIT = 6 * PER_SECOND;
--- a/packages/entry/tests/accounts/account-duty.test.ts
+++ b/packages/entry/tests/accounts/account-duty.test.ts
@@ -1,18 +1,10 @@
-import type { ClientAccount } from '@ferrylock/routing';
-import { FakeClock } from '@ferrylock/test-utils';
+import { FakeClock, makeLimitedAccount } from '@ferrylock/test-utils';
 import { SeededRandom } from '@ferrylock/utils';
 import { describe, expect, it } from 'vitest';
 import { AccountDuty } from '../../src/accounts/account-duty.js';
 import { makeHostRecord } from '../fixtures.js';
 
-const ACCOUNT: ClientAccount = {
-  name: 'haulier',
-  keys: [],
-  requestsPerSecond: 40,
-  burst: 40,
-  priority: 0,
-  homeRegions: [],
-};
+const ACCOUNT = makeLimitedAccount(40);
 
 /** `host-1` of a fleet of so many, of which it hears those that are named. */
 function makeDuty({ hosts = 1, isFirstStart = true, heard = new Set<string>() } = {}) {
--- a/packages/entry/tests/accounts/account-fleet.test.ts
+++ b/packages/entry/tests/accounts/account-fleet.test.ts
@@ -3,25 +3,16 @@
  * soon: quiet hosts report and hear least often, every 0.4 and 0.8 s, and accounts at rest are to cost nothing.
  */
 import type { ClientAccount } from '@ferrylock/routing';
-import { EntryFleet, FakeClock } from '@ferrylock/test-utils';
+import { EntryFleet, FakeClock, makeLimitedAccount } from '@ferrylock/test-utils';
 import { describe, expect, it } from 'vitest';
 
 const HOSTS = 65;
 const SETTLE_MILLISECONDS = 4_000;
 const TEST_MILLISECONDS = 60_000;
 
-function makeAccount(index: number): ClientAccount {
-  return {
-    name: `account-${index}`,
-    keys: [],
-    requestsPerSecond: 40,
-    burst: 40,
-    priority: 0,
-    homeRegions: [],
-  };
-}
-
-const ACCOUNTS = Array.from({ length: 80 }, (_, index) => makeAccount(index));
+const ACCOUNTS = Array.from({ length: 80 }, (_, index) =>
+  makeLimitedAccount(40, `account-${index}`),
+);
 
 async function makeFleet(accounts?: readonly ClientAccount[]) {
   const clock = new FakeClock();
@@ -51,7 +42,7 @@
 }
 
 describe('client accounts in a fleet', { timeout: TEST_MILLISECONDS }, () => {
-  const account = makeAccount(0);
+  const account = makeLimitedAccount(40, 'account-0');
 
   it('are known by their use to every host within one and a half seconds', async () => {
     const { clock, fleet } = await makeFleet(ACCOUNTS);
--- a/packages/routing/tests/accounts/account-quota.test.ts
+++ b/packages/routing/tests/accounts/account-quota.test.ts
@@ -1,18 +1,11 @@
-import { FakeClock } from '@ferrylock/test-utils';
+import { FakeClock, makeLimitedAccount } from '@ferrylock/test-utils';
 import { SeededRandom } from '@ferrylock/utils';
 import { describe, expect, it } from 'vitest';
 import { AccountQuota, AccountQuotas } from '../../src/index.js';
-import type { ClientAccount, FleetKnowledge, OthersUsage } from '../../src/index.js';
+import type { FleetKnowledge, OthersUsage } from '../../src/index.js';
 
 const BOUND = { windowMilliseconds: 5_000, overage: 0.1, slack: 20 };
-const ACCOUNT: ClientAccount = {
-  name: 'haulier',
-  keys: [],
-  requestsPerSecond: 40,
-  burst: 40,
-  priority: 0,
-  homeRegions: [],
-};
+const ACCOUNT = makeLimitedAccount(40);
 const NOBODY: OthersUsage = { used: 0, askedPerSecond: 0 };
 const HEARD: FleetKnowledge = {
   deafMilliseconds: 0,
@@ -20,7 +13,7 @@
   forgottenShare: 0,
 };
 
-function makeQuota(account: ClientAccount = ACCOUNT) {
+function makeQuota(account = ACCOUNT) {
   const clock = new FakeClock();
   const quota = new AccountQuota(account, clock, new SeededRandom(1), BOUND);
   /** Asks so many times at once; tells how many may run. */
--- a/packages/routing/tests/accounts/account-table.test.ts
+++ b/packages/routing/tests/accounts/account-table.test.ts
@@ -1,18 +1,10 @@
-import { makeRoute } from '@ferrylock/test-utils';
+import { makeAccount as makeAnyAccount, makeRoute } from '@ferrylock/test-utils';
 import { describe, expect, it } from 'vitest';
 import { AccountTable, clientAccountsSchema } from '../../src/index.js';
 import type { ClientAccount } from '../../src/index.js';
 
 function makeAccount(changes: Partial<ClientAccount> = {}): ClientAccount {
-  return {
-    name: 'haulier',
-    keys: ['k-1', 'k-2'],
-    requestsPerSecond: 0,
-    burst: 0,
-    priority: 0,
-    homeRegions: [],
-    ...changes,
-  };
+  return makeAnyAccount({ keys: ['k-1', 'k-2'], ...changes });
 }
 
 function makeTable(...accounts: ClientAccount[]): AccountTable {
--- a/packages/routing/tests/accounts/quota-fleet.test.ts
+++ b/packages/routing/tests/accounts/quota-fleet.test.ts
@@ -1,7 +1,6 @@
-import { QuotaFleet, toldUse } from '@ferrylock/test-utils';
+import { makeLimitedAccount, QuotaFleet, toldUse } from '@ferrylock/test-utils';
 import { SeededRandom } from '@ferrylock/utils';
 import { describe, expect, it } from 'vitest';
-import type { ClientAccount } from '../../src/index.js';
 
 /**
  * Limits that are kept by many hosts together, under the loads that press on them. Demand is told as a multiple
@@ -13,24 +12,13 @@
 /** 7.5 times the usual: the strongest rush that one account was seen to make. */
 const RUSH = 7.5 * USUAL;
 
-function accountOf(requestsPerSecond: number): ClientAccount {
-  return {
-    name: 'account',
-    keys: [],
-    requestsPerSecond,
-    burst: requestsPerSecond,
-    priority: 0,
-    homeRegions: [],
-  };
-}
-
 const limitOf = (perSecond: number): number => 6 * perSecond;
 const boundOf = (perSecond: number): number => 1.1 * limitOf(perSecond) + 20;
 
 function makeFleet(hosts: number, perSecond: number, seed: number): QuotaFleet {
   return new QuotaFleet({
     hosts,
-    account: accountOf(perSecond),
+    account: makeLimitedAccount(perSecond),
     bound: BOUND,
     seed,
     makeWay: toldUse,
@@ -150,7 +138,7 @@
     const fleet = makeFleet(hosts, perSecond, 8);
     fleet.ask(USUAL * perSecond, alike(hosts));
     fleet.run(8_000);
-    fleet.setAccount(accountOf(perSecond / 3));
+    fleet.setAccount(makeLimitedAccount(perSecond / 3));
     fleet.run(5_000);
     fleet.ran.length = 0;
     fleet.run(10_000);
--- a/packages/test-utils/src/index.ts
+++ b/packages/test-utils/src/index.ts
@@ -15,7 +15,12 @@
 export type { ControlFleetOptions, ControlNode } from './control-fleet.js';
 export { MemoryNetwork } from './memory-network.js';
 export type { NetworkCounts, NetworkFaults } from './memory-network.js';
-export { makeRoute, makeTargetRecord } from './routes-and-targets.js';
+export {
+  makeAccount,
+  makeLimitedAccount,
+  makeRoute,
+  makeTargetRecord,
+} from './routes-and-targets.js';
 export { PausableClock, ProcessPause } from './process-pause.js';
 export { QuotaFleet } from './quotas/quota-fleet.js';
 export type { QuotaFleetOptions } from './quotas/quota-fleet.js';
--- a/packages/test-utils/src/routes-and-targets.ts
+++ b/packages/test-utils/src/routes-and-targets.ts
@@ -1,4 +1,4 @@
-import type { Route, TargetRecord } from '@ferrylock/routing';
+import type { ClientAccount, Route, TargetRecord } from '@ferrylock/routing';
 
 /** A route of one service, with the figures of skovlund's look-ups. */
 export function makeRoute(changes: Partial<Route> = {}): Route {
@@ -33,3 +33,21 @@
     ...changes,
   };
 }
+
+/** A client account without a limit; `requestsPerSecond` and `burst` give it one. */
+export function makeAccount(changes: Partial<ClientAccount> = {}): ClientAccount {
+  return {
+    name: 'haulier',
+    keys: [],
+    requestsPerSecond: 0,
+    burst: 0,
+    priority: 0,
+    homeRegions: [],
+    ...changes,
+  };
+}
+
+/** A client account that may run so many requests a second, and as many more in any window. */
+export function makeLimitedAccount(requestsPerSecond: number, name = 'haulier'): ClientAccount {
+  return makeAccount({ name, requestsPerSecond, burst: requestsPerSecond });
+}
