fix: small accounts whose use goes up and down by chance are not told out of turn

In the emulated fleet, 80 accounts of 8 requests a second asked for their rate, a host sent 15.0 messages a second instead of 9.8. Change: ten requests and 4.5 in 100 of the limit, instead of one and as much.

--- a/packages/entry/src/accounts/account-duty.ts
+++ b/packages/entry/src/accounts/account-duty.ts
@@ -34,6 +34,12 @@
  * that is less than a round of reports, so that only a rush is told out of turn.
  */
 const TOLD_AT_ONCE = 0.045;
+/**
+ * Requests on top of that part: use of small accounts goes up and down by chance, and was told out of turn half
+ * again as often as all rounds together (15 instead of 10 messages a second and host, 80 accounts of 8 requests a
+ * second, each asked for its rate).
+ */
+const LEAST_TOLD_AT_ONCE = 10;
 
 /** Shortest time between two messages that are sent for a rush, so that these cost little. */
 const LEAST_BETWEEN_RUSHES_MILLISECONDS = 100;
@@ -213,7 +219,7 @@
     const total = this.#totalOf(account);
     const told = this.#toldTotal.get(account) ?? total;
     this.#toldTotal.set(account, told);
-    if (total > NEAR_LIMIT * limit && total - told > 1 + TOLD_AT_ONCE * limit) {
+    if (total > NEAR_LIMIT * limit && total - told > LEAST_TOLD_AT_ONCE + TOLD_AT_ONCE * limit) {
       this.#rushToldAt = now;
       this.#options.onRush();
     }
--- a/packages/entry/tests/accounts/account-fleet.test.ts
+++ b/packages/entry/tests/accounts/account-fleet.test.ts
@@ -4,6 +4,7 @@
  */
 import type { ClientAccount } from '@ferrylock/routing';
 import { EntryFleet, FakeClock, makeLimitedAccount } from '@ferrylock/test-utils';
+import { randomIndex, SeededRandom } from '@ferrylock/utils';
 import { describe, expect, it } from 'vitest';
 
 const HOSTS = 65;
@@ -72,6 +73,27 @@
     expect(ran).toBeGreaterThan(0.8 * 240);
   });
 
+  it('are told of out of turn in a rush alone, not where small ones go up and down by chance', async () => {
+    const small = ACCOUNTS.map(({ name }) => makeLimitedAccount(8, name));
+    const { clock, fleet } = await makeFleet(small);
+    const random = new SeededRandom(1);
+    /** Asks for each account's rate, at any host, for some seconds. */
+    const ask = async (seconds: number): Promise<void> => {
+      for (let step = 0; step < seconds * 20; step++) {
+        await clock.advance(50);
+        for (const account of small) {
+          if (random.next() < 8 * 0.05) {
+            take(fleet, randomIndex(random, HOSTS), account, 1);
+          }
+        }
+      }
+    };
+    await ask(6);
+    const before = fleet.counts.datagrams;
+    await ask(4);
+    expect((fleet.counts.datagrams - before) / HOSTS / 4).toBeLessThan(11);
+  });
+
   it('cost nothing at rest', async () => {
     const bytesOf = async (accounts?: readonly ClientAccount[]): Promise<number> => {
       const { clock, fleet } = await makeFleet(accounts);
