--- a/packages/entry/tests/accounts/account-duty.test.ts
+++ b/packages/entry/tests/accounts/account-duty.test.ts
@@ -109,7 +109,7 @@
     expect(rushes.count).toBe(1);
     duty.report(1);
     await clock.advance(100);
-    ask(5);
+    ask(20);
     expect(rushes.count).toBe(1);
     ask(10);
     expect(rushes.count).toBe(2);
