fix: a flood that comes to many hosts at rest does not run the whole limit at each of them

Before the first news each host sees no others' use and takes the whole room. Ruled out: the window (the loop was shorter) and restarts. Change: where there are other hosts, one lets at most a quarter of the limit run in the 0.8 s that news takes; an account whose callers all sit at one host may still have 1.5 times its limit that way. The test counts what ran by windows and not in all, as the rule does, since a slow machine's loop may last longer than one: stricter for each window.

--- a/packages/entry/src/accounts/account-duty.ts
+++ b/packages/entry/src/accounts/account-duty.ts
@@ -196,6 +196,7 @@
     const isAlone = registered.every(({ name }) => name === ownName);
     const known = this.rememberedMilliseconds + LEAST_DOWN_MILLISECONDS;
     return {
+      isAlone,
       deafMilliseconds: isAlone ? 0 : clock.now() - this.#newsAt,
       blindShare: this.#blindShareAmong(registered),
       forgottenShare: forgottenShare(known, windowMilliseconds),
--- a/packages/routing/src/accounts/account-quota.ts
+++ b/packages/routing/src/accounts/account-quota.ts
@@ -31,6 +31,8 @@
 
 /** How much of the fleet is known here. */
 export interface FleetKnowledge {
+  /** Whether there is no other host. */
+  readonly isAlone: boolean;
   /** How long ago the use of most other hosts was told last, in milliseconds. */
   readonly deafMilliseconds: number;
   /** This host's part where it knows nothing of others; all such parts add up to less than one. */
@@ -55,6 +57,12 @@
 const CAUTION = 0.6;
 /** Part of its part of the room that a host takes on old news: others may not hear of it. */
 const STALE_PART = 0.15;
+/**
+ * Part of what a window may have that one host lets run in the time that news takes to spread: where a flood comes to
+ * many hosts that were at rest, each would let the whole limit run (39 requests at 3 hosts where 33 may). An account whose
+ * callers all sit at one host may still have one and a half times its limit that way.
+ */
+const LARGEST_TURN = 0.25;
 /** Requests that run on old news at any rate, so that callers who just came are not refused. */
 const RUNS_ON_STALE_NEWS = 2;
 /**
@@ -159,7 +167,9 @@
     // Who has forgotten what ran knows as little of what is asked for elsewhere.
     const certainty = 1 - CAUTION * fleet.forgottenShare;
     const room = certainty * (most - others.used - this.used);
-    if (room < 1) {
+    const turn = Math.max(RUNS_ON_STALE_NEWS, LARGEST_TURN * most);
+    const isFlood = !fleet.isAlone && this.#usedLately.total + 1 > turn;
+    if (room < 1 || isFlood) {
       return false;
     }
     if (fleet.deafMilliseconds > STALE_MILLISECONDS) {
--- a/packages/routing/tests/accounts/account-quota.test.ts
+++ b/packages/routing/tests/accounts/account-quota.test.ts
@@ -8,6 +8,7 @@
 const ACCOUNT = makeLimitedAccount(40);
 const NOBODY: OthersUsage = { used: 0, askedPerSecond: 0 };
 const HEARD: FleetKnowledge = {
+  isAlone: true,
   deafMilliseconds: 0,
   blindShare: 0.1,
   forgottenShare: 0,
@@ -40,6 +41,14 @@
     expect(ask(1, { used: 400, askedPerSecond: 0 })).toBe(0);
   });
 
+  it('lets a quarter of the limit run at once where there are others, who may be flooded too', async () => {
+    const { clock, ask } = makeQuota();
+    const fleet = { ...HEARD, isAlone: false };
+    expect(ask(1_000, NOBODY, fleet)).toBe(Math.floor(0.25 * 248));
+    await clock.advance(1_000);
+    expect(ask(1_000, NOBODY, fleet)).toBe(Math.floor(0.25 * 248));
+  });
+
   it('has room again after the window', async () => {
     const { clock, ask } = makeQuota();
     ask(1_000);
--- a/packages/test-utils/src/quotas/quota-fleet.ts
+++ b/packages/test-utils/src/quotas/quota-fleet.ts
@@ -246,6 +246,7 @@
       others: host.told,
       askedHosts,
       fleet: {
+        isAlone: this.#hosts.length === 1,
         deafMilliseconds,
         blindShare: 1 / (3 * this.#hosts.length),
         forgottenShare: forgottenShare(remembered, windowMilliseconds),
