feat: a target's end is told from a lost answer, with the requests that it had

Cause: three explanations of the incident could not be told apart. A line names a request by an id that is another at each try, try-failed does not say whether the target ended, and 50 such lines a second are written. No choice depends on it. Ruled out: taking every closed connection for an end (answers are cut and connections reset while targets live); records alone (they go 1.5 to 2.5 s later, and those of targets that leave go too). Cost: nothing for a request that is answered; a connection for each target and host that loses an answer.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -22,6 +22,8 @@
 import { TargetClient } from './request/target-client.js';
 import type { RoutingState } from './routing/routing-state.js';
 import { RunDelay } from './run-delay.js';
+import { checkConnection } from './suspects/check-connection.js';
+import { TargetEnds } from './suspects/target-ends.js';
 import { ControlServer } from './servers/control-server.js';
 import { FrontServer } from './servers/front-server.js';
 
@@ -52,6 +54,7 @@
   readonly #busy = new BusyMeter();
   readonly #member: FleetMember;
   readonly #client: TargetClient;
+  readonly #ends: TargetEnds;
   readonly #directory: Directory;
   readonly #front: FrontServer;
   readonly #control: ControlServer;
@@ -81,6 +84,7 @@
         state.recordConnected(address, milliseconds);
       },
     });
+    this.#ends = new TargetEnds({ clock, events, checkConnection, onEnd: () => undefined });
     this.#directory = new Directory({
       view,
       peers,
@@ -95,6 +99,7 @@
       state,
       accounts,
       client: this.#client,
+      ends: this.#ends,
       bodies: new BodyReader(clock, settings.mostHeldBodyBytes),
       answers: new AnswerWriter({ ...options, view, metrics: this.metrics }),
       metrics: this.metrics,
@@ -149,6 +154,7 @@
       peersHeard: hosts.filter((host) => peers.isAlive(host)).length,
       targetsKnown: services.reduce((sum, { targets }) => sum + targets.size, 0),
       logLinesDropped: events.dropped,
+      targetsEnded: this.#ends.count,
     });
   }
 
--- a/packages/entry/src/events.ts
+++ b/packages/entry/src/events.ts
@@ -101,6 +101,26 @@
     load: z.number(),
     beliefAgeMilliseconds: z.number(),
   }),
+  /**
+   * A target's connections closed before it had answered these requests. `refused`: the target has ended, and
+   * one of them may be why. `taken` and `unknown`: the answers were lost, the target lives as far as is known.
+   */
+  z.object({
+    event: z.literal('answers-lost'),
+    target: z.string(),
+    service: z.string(),
+    connection: z.enum(['refused', 'taken', 'unknown']),
+    requests: z.array(
+      z.object({
+        /** The same for each try of the same request, whatever its id and wherever it comes. */
+        fingerprint: z.string(),
+        requestId: z.string(),
+        route: z.string(),
+        account: z.string().optional(),
+        path: z.string(),
+      }),
+    ),
+  }),
   /** A request got no target's answer. */
   z.object({
     event: z.literal('refused'),
@@ -162,7 +182,9 @@
 /** Whether lines like it come as often as requests do. */
 function isOfRequest(event: EntryEvent): boolean {
   return (
-    REQUEST_EVENTS.has(event.event) || (event.event === 'target' && REQUEST_STATES.has(event.state))
+    REQUEST_EVENTS.has(event.event) ||
+    (event.event === 'target' && REQUEST_STATES.has(event.state)) ||
+    (event.event === 'answers-lost' && event.connection !== 'refused')
   );
 }
 
--- a/packages/entry/src/metrics-text.ts
+++ b/packages/entry/src/metrics-text.ts
@@ -12,6 +12,8 @@
   readonly peersHeard: number;
   readonly targetsKnown: number;
   readonly logLinesDropped: number;
+  /** Targets that ended with answers to this host outstanding. */
+  readonly targetsEnded: number;
 }
 
 /** Figures of an entry host in the Prometheus text format. */
@@ -24,6 +26,7 @@
     ...gauge('targets_known', figures.targetsKnown),
     ...counter('retries_total', metrics.retries),
     ...counter('log_lines_dropped_total', figures.logLinesDropped),
+    ...counter('targets_ended_total', figures.targetsEnded),
     '# TYPE ferrylock_requests_total counter',
     '# TYPE ferrylock_request_seconds summary',
   ];
--- a/packages/entry/src/request/request-forwarder.ts
+++ b/packages/entry/src/request/request-forwarder.ts
@@ -17,6 +17,7 @@
 import { keyOf } from './caller-exchange.js';
 import type { HeaderDialect } from './dialect.js';
 import type { EventLog } from '../events.js';
+import type { TargetEnds } from '../suspects/target-ends.js';
 import type { Refusal } from './refusal.js';
 import type { RequestMetrics } from './request-metrics.js';
 import { RequestProgress } from './request-progress.js';
@@ -49,6 +50,7 @@
   /** Keeps client accounts to their limits. */
   readonly accounts: AccountDuty;
   readonly client: TargetClient;
+  readonly ends: TargetEnds;
   readonly dialect: HeaderDialect;
   readonly bodies: BodyReader;
   readonly answers: AnswerWriter;
--- a/packages/entry/src/request/target-send.ts
+++ b/packages/entry/src/request/target-send.ts
@@ -1,6 +1,7 @@
 import type { ServiceTargets, TargetState } from '@ferrylock/routing';
 import type { Clock } from '@ferrylock/utils';
 import type { EventLog } from '../events.js';
+import type { TargetEnds } from '../suspects/target-ends.js';
 import type { RoutedExchange } from './caller-exchange.js';
 import { keyOf } from './caller-exchange.js';
 import type { AnswerFacts, HeaderDialect } from './dialect.js';
@@ -30,6 +31,9 @@
 /** A success that the target did not sign. */
 class UnsignedAnswer extends Error {}
 
+/** How the transport calls a connection that closed before the answer was whole. */
+const CONNECTION_LOSSES: ReadonlySet<unknown> = new Set(['UND_ERR_SOCKET', 'ECONNRESET', 'EPIPE']);
+
 /** Cached answers that a caller revalidates are no successes with a body. */
 const isSuccess = (status: number): boolean => status >= 200 && status < 300;
 
@@ -37,6 +41,8 @@
   readonly clock: Clock;
   readonly events: EventLog;
   readonly client: TargetClient;
+  /** Told of answers that were lost. */
+  readonly ends: TargetEnds;
   readonly dialect: HeaderDialect;
   readonly service: ServiceTargets;
   readonly target: TargetState;
@@ -136,8 +142,8 @@
     return { kind: 'answered', answer, facts };
   }
 
-  #judgeFailure(isUnsent: boolean, error: Error): SendVerdict {
-    const { target } = this.#options;
+  #judgeFailure(isUnsent: boolean, error: NodeJS.ErrnoException): SendVerdict {
+    const { target, service, exchange, ends } = this.#options;
     if (this.#endedBy !== undefined) {
       if (this.#endedBy === 'deadline' && target.answeredAt < this.sentAt) {
         this.#eject('no answer in time, and none since it was sent');
@@ -148,6 +154,9 @@
       this.#eject(error.message);
       return { kind: 'not-run', reason: 'connect-failed', detail: error.message };
     }
+    if (CONNECTION_LOSSES.has(error.code)) {
+      ends.recordLoss(service, target, exchange);
+    }
     if (error instanceof StrayAnswer) {
       this.#distrust(error.message);
     } else {
--- a/packages/entry/tests/fixtures.ts
+++ b/packages/entry/tests/fixtures.ts
@@ -1,3 +1,5 @@
+import { IncomingMessage, ServerResponse } from 'node:http';
+import { Socket } from 'node:net';
 import type { RouteConfiguration, TargetRecord } from '@ferrylock/routing';
 import { NOTHING_LEFT_OUT } from '@ferrylock/routing';
 import { makeRoute, makeTargetRecord } from '@ferrylock/test-utils';
@@ -6,6 +8,7 @@
 import type { EntryEvent, EntryHostRecord, FleetChange, FleetView } from '../src/index.js';
 import { EventLog } from '../src/index.js';
 import { AccountDuty } from '../src/accounts/account-duty.js';
+import type { RoutedExchange } from '../src/request/caller-exchange.js';
 import { RoutingState } from '../src/routing/routing-state.js';
 
 export function makeHostRecord(changes: Partial<EntryHostRecord> = {}): EntryHostRecord {
@@ -105,3 +108,27 @@
   });
   return { log, events };
 }
+
+/** A look-up on its way, as far as those need it who do not answer it. */
+export function makeExchange(changes: Partial<RoutedExchange> = {}): RoutedExchange {
+  const request = Object.assign(new IncomingMessage(new Socket()), { method: 'GET' });
+  return {
+    request,
+    response: new ServerResponse(request),
+    path: '/verdicts/1',
+    demand: {
+      requestId: 'request-1',
+      deadlineMilliseconds: undefined,
+      affinityKey: undefined,
+      accountKey: undefined,
+    },
+    arrivedAt: 0,
+    requestId: 'request-1',
+    account: undefined,
+    route: makeRoute(),
+    version: 1,
+    body: undefined,
+    endAt: 1_000,
+    ...changes,
+  };
+}
--- a/packages/entry/tests/metrics-text.test.ts
+++ b/packages/entry/tests/metrics-text.test.ts
@@ -8,6 +8,7 @@
   peersHeard: 11,
   targetsKnown: 46,
   logLinesDropped: 3,
+  targetsEnded: 2,
 };
 
 describe('metricsText', () => {
@@ -26,6 +27,7 @@
         'ferrylock_request_seconds{class="once",quantile="0.5"} 0.12',
         'ferrylock_belief_age_seconds 0.25',
         'ferrylock_configuration_version 7',
+        'ferrylock_targets_ended_total 2',
       ]),
     );
   });
