--- a/packages/test-utils/src/entry-fleet.ts
+++ b/packages/test-utils/src/entry-fleet.ts
@@ -105,6 +105,9 @@
   readonly #receivers = new Map<string, (text: string) => void>();
   readonly #byControlAddress = new Map<string, FleetMember>();
   readonly #regionOfAddress = new Map<string, string>();
+  /** Report addresses of hosts that neither hear nor reach others. */
+  readonly #cut = new Set<string>();
+  #starts = 0;
   readonly #regions: Readonly<Record<string, string>>;
 
   constructor(options: EntryFleetOptions) {
@@ -204,6 +207,26 @@
     });
   }
 
+  /** Ends a host without notice; it starts again as another process after some time. */
+  async restartHost(index: number, downMilliseconds: number): Promise<void> {
+    const host = this.hosts[index];
+    this.#receivers.delete(host?.record.reportAddress ?? '');
+    this.#byControlAddress.delete(host?.record.controlAddress ?? '');
+    await host?.member.close();
+    await this.#options.clock.sleep(downMilliseconds);
+    this.#startHost(index);
+  }
+
+  /** Cuts a host off from the other hosts, or ends that; the store is reached all the time. */
+  setCut(index: number, isCut: boolean): void {
+    const address = this.hosts[index]?.record.reportAddress ?? '';
+    if (isCut) {
+      this.#cut.add(address);
+    } else {
+      this.#cut.delete(address);
+    }
+  }
+
   #startHost(index: number): void {
     const { clock, domains, largeHostsPerDomain } = this.#options;
     const place = Math.floor(index / domains);
@@ -211,7 +234,7 @@
     const region = this.#regions[failureDomain] ?? '';
     const record: EntryHostRecord = {
       name: `host-${index}`,
-      incarnation: `first-${index}`,
+      incarnation: `start-${this.#starts++}-${index}`,
       failureDomain,
       region,
       trafficAddress: `10.0.0.${index}:1`,
@@ -225,19 +248,29 @@
       random: new SeededRandom(this.#options.seed + index),
       events: new EventLog(silentLogger),
       store: this.store,
-      peerCalls: this.#callsOf(),
+      peerCalls: this.#callsOf(record),
       openDatagrams: (onMessage) => this.#open(record, onMessage),
       onSweep: () => undefined,
       busyShare: () => 0.05,
     });
     this.#byControlAddress.set(record.controlAddress, member);
     this.#regionOfAddress.set(record.reportAddress, region);
-    this.hosts.push({ member, record });
+    this.#putHost({ member, record });
     void member.listen().then(() => {
       member.start(record);
     });
   }
 
+  /** A host that starts again takes the place of its former self. */
+  #putHost(host: EntryFleetHost): void {
+    const former = this.hosts.findIndex(({ record }) => record.name === host.record.name);
+    if (former < 0) {
+      this.hosts.push(host);
+    } else {
+      this.hosts[former] = host;
+    }
+  }
+
   #settings(record: EntryHostRecord): EntryHostSettings {
     return {
       ...record,
@@ -269,7 +302,9 @@
           this.#regionOfAddress.get(address) === own.region ? 0 : bytes;
         this.#options.clock.after(WAY_MILLISECONDS, () => {
           this.counts.wakeUps++;
-          this.#receivers.get(address)?.(text);
+          if (!this.#cut.has(address) && !this.#cut.has(own.reportAddress)) {
+            this.#receivers.get(address)?.(text);
+          }
         });
       },
       close: (): void => {
@@ -278,14 +313,14 @@
     };
   }
 
-  #callsOf(): PeerCalls {
+  #callsOf(own: EntryHostRecord): PeerCalls {
     return {
       delta: async (address, afterRevision) => {
         const { clock } = this.#options;
         this.counts.calls++;
         await clock.sleep(2 * WAY_MILLISECONDS);
         const peer = this.#byControlAddress.get(address);
-        if (peer === undefined) {
+        if (peer === undefined || this.#cut.has(own.reportAddress)) {
           return Err('nobody answers');
         }
         const text = JSON.stringify(peer.changes.deltaFor({ afterRevision }));
