fix: a request under which three targets ended is turned away at every host

Cause: nothing tied together sends of one request under different ids at different hosts; each was taken for a new one, and sent to a second target when the first had ended under it. Change: hosts tell one another, with the reports that travel anyway, which requests targets had when they ended (fingerprint and start of the target; out of turn while that is news). Where three have ended under a request without an answer to it in between, it is turned away: 503 without a time to return, or 502 where it has run. Any answer to it takes the ends back, and so does an answer of a target that was taken to have ended.

--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -10,6 +10,7 @@
 import { overload } from './benches/overload.js';
 import { proxy } from './benches/proxy.js';
 import { quotas } from './benches/quotas.js';
+import { suspects } from './benches/suspects.js';
 import { spread } from './benches/spread.js';
 import type { Bench } from './report.js';
 
@@ -28,4 +29,5 @@
   proxy,
   quotas,
   spread,
+  suspects,
 };
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -77,14 +77,21 @@
       busyShare: () => this.#busy.share,
     });
     this.#largeHosts = { of: [], names: [settings.name] };
-    const { view, state, peers, accounts } = this.#member;
+    const { view, state, peers, accounts, suspects } = this.#member;
     this.#client = new TargetClient({
       clock,
       onConnected: (address, milliseconds) => {
         state.recordConnected(address, milliseconds);
       },
     });
-    this.#ends = new TargetEnds({ clock, events, checkConnection, onEnd: () => undefined });
+    this.#ends = new TargetEnds({
+      clock,
+      events,
+      checkConnection,
+      onEnd: (end) => {
+        suspects.recordEnd(end);
+      },
+    });
     this.#directory = new Directory({
       view,
       peers,
@@ -100,6 +107,7 @@
       accounts,
       client: this.#client,
       ends: this.#ends,
+      suspects,
       bodies: new BodyReader(clock, settings.mostHeldBodyBytes),
       answers: new AnswerWriter({ ...options, view, metrics: this.metrics }),
       metrics: this.metrics,
@@ -155,6 +163,7 @@
       targetsKnown: services.reduce((sum, { targets }) => sum + targets.size, 0),
       logLinesDropped: events.dropped,
       targetsEnded: this.#ends.count,
+      suspectRequests: this.#member.suspects.table.suspects.length,
     });
   }
 
--- a/packages/entry/src/events.ts
+++ b/packages/entry/src/events.ts
@@ -121,6 +121,16 @@
       }),
     ),
   }),
+  /**
+   * A request is turned away from now on, since these targets ended under it, or no longer. The lines
+   * `answers-lost` tell which request has this fingerprint.
+   */
+  z.object({
+    event: z.literal('suspect'),
+    fingerprint: z.string(),
+    state: z.enum(['suspected', 'cleared']),
+    targets: z.array(z.string()),
+  }),
   /** A request got no target's answer. */
   z.object({
     event: z.literal('refused'),
--- a/packages/entry/src/fleet-member.ts
+++ b/packages/entry/src/fleet-member.ts
@@ -16,6 +16,7 @@
 import { PeerTable } from './peers/peer-table.js';
 import { ViewExchange } from './peers/view-exchange.js';
 import { PlacementDuty } from './routing/placement-duty.js';
+import { SuspectDuty } from './suspects/suspect-duty.js';
 import { RoutingState } from './routing/routing-state.js';
 import { WatchDuty } from './watch-duty.js';
 
@@ -50,6 +51,8 @@
   readonly peers: PeerTable;
   /** Keeps client accounts to their limits. */
   readonly accounts: AccountDuty;
+  /** Turns requests away that end targets. */
+  readonly suspects: SuspectDuty;
   /** Answers other hosts' calls. */
   readonly changes: ViewExchange;
   readonly #options: FleetMemberOptions;
@@ -93,6 +96,12 @@
         this.#exchange.report();
       },
     });
+    this.suspects = new SuspectDuty({
+      ...options,
+      onNews: (source) => {
+        this.#exchange.tellNews(source);
+      },
+    });
     this.state.onConfiguration(({ accounts = [] }) => {
       this.accounts.quotas.setAccounts(accounts);
     });
@@ -119,6 +128,7 @@
       storeAnsweredAt,
       loads: this.#loads,
       accounts: this.accounts,
+      suspects: this.suspects,
       isLeaving: () => this.#isLeaving,
       asked: () => this.#placement.asked,
     });
@@ -238,6 +248,7 @@
       this.peers.sweep();
       this.#loads.sweep();
       this.accounts.sweep();
+      this.suspects.sweep();
       this.#health.recordConfirmation(this.view.confirmedAt);
       this.state.sweep();
       this.#placement.sweep();
--- a/packages/entry/src/metrics-text.ts
+++ b/packages/entry/src/metrics-text.ts
@@ -14,6 +14,8 @@
   readonly logLinesDropped: number;
   /** Targets that ended with answers to this host outstanding. */
   readonly targetsEnded: number;
+  /** Requests that are turned away since targets end under them. */
+  readonly suspectRequests: number;
 }
 
 /** Figures of an entry host in the Prometheus text format. */
@@ -27,6 +29,7 @@
     ...counter('retries_total', metrics.retries),
     ...counter('log_lines_dropped_total', figures.logLinesDropped),
     ...counter('targets_ended_total', figures.targetsEnded),
+    ...gauge('suspect_requests', figures.suspectRequests),
     '# TYPE ferrylock_requests_total counter',
     '# TYPE ferrylock_request_seconds summary',
   ];
--- a/packages/entry/src/peers/message-writer.ts
+++ b/packages/entry/src/peers/message-writer.ts
@@ -4,6 +4,7 @@
 import type { AccountDuty } from '../accounts/account-duty.js';
 import type { EntryHostRecord } from '../fleet/fleet-record.js';
 import type { FleetDelta, FleetView } from '../fleet/fleet-view.js';
+import type { SuspectDuty } from '../suspects/suspect-duty.js';
 import { encodeAccountUsage } from './account-rows.js';
 import type { HostStatus, RequestRates } from './host-status.js';
 import { encodeStatuses } from './host-status.js';
@@ -15,6 +16,7 @@
 import type { PeerTable } from './peer-table.js';
 import { encodeRows } from './rows.js';
 import type { StoreAnswers } from './store-answers.js';
+import { encodeSuspects } from './suspect-rows.js';
 import type { ToldRegion } from './told-fleet.js';
 import { encodeRegions, encodeStarts, startOf } from './told-fleet.js';
 
@@ -27,6 +29,7 @@
   readonly peers: PeerTable;
   readonly loads: PeerLoads;
   readonly accounts: AccountDuty;
+  readonly suspects: SuspectDuty;
   readonly answers: StoreAnswers;
   readonly own: EntryHostRecord;
   readonly isLeaving: () => boolean;
@@ -67,6 +70,7 @@
     const params = {
       statuses: encodeStatuses([this.#ownStatus()]),
       ...this.#knowledge(this.#inFlight, this.#usage),
+      ...this.#suspects('own'),
     };
     return JSON.stringify(createJSONRPCNotification(REPORT_METHOD, params));
   }
@@ -84,6 +88,7 @@
       failureDomain: own.failureDomain,
       statuses: encodeStatuses(this.#ownDomainStatuses()),
       ...this.#knowledge(inFlight, usage),
+      ...this.#suspects('all'),
     });
   }
 
@@ -103,6 +108,7 @@
       regions: encodeRegions(this.#regions()),
       counted: encodeRows(counted),
       ...this.#knowledge(inFlight, usage),
+      ...this.#suspects('all'),
     });
   }
 
@@ -165,6 +171,12 @@
     };
   }
 
+  /** Nothing at rest. A relay passes on what it heard, any other host tells what it saw itself. */
+  #suspects(which: 'own' | 'all'): Record<string, unknown> {
+    const suspects = encodeSuspects(this.#options.suspects.table.tell(which));
+    return suspects === '' ? {} : { suspects };
+  }
+
   #ownStatus(): HostStatus {
     const { own, isLeaving, busyShare, asked } = this.#options;
     const { name, incarnation } = own;
--- a/packages/entry/src/peers/peer-exchange.ts
+++ b/packages/entry/src/peers/peer-exchange.ts
@@ -3,6 +3,7 @@
 import type { EventLog } from '../events.js';
 import type { EntryHostRecord } from '../fleet/fleet-record.js';
 import type { Datagrams, OpenDatagrams } from './datagrams.js';
+import type { NewsSource } from '../suspects/suspect-duty.js';
 import type { HostStatus } from './host-status.js';
 import { loadSource } from './load-source.js';
 import { MessageWriter } from './message-writer.js';
@@ -139,6 +140,13 @@
     });
   }
 
+  /** Tells what others should not wait for; what was heard is passed on by relays alone. */
+  tellNews(source: NewsSource): void {
+    if (source === 'own' || this.#isRelay) {
+      this.report();
+    }
+  }
+
   /** Takes a message of another host, as it came. */
   takeDatagram(text: string): void {
     const { events } = this.#options;
@@ -215,8 +223,10 @@
   }
 
   /** Fetches what a peer knows beyond this host; takes what it tells of the store's answers. */
-  #takeKnowledge(name: string, { lastChange, storeAnswer, controlAddress }: Knowledge): void {
-    const { view, changes } = this.#options;
+  #takeKnowledge(name: string, knowledge: Knowledge): void {
+    const { view, changes, suspects } = this.#options;
+    const { lastChange, storeAnswer, controlAddress } = knowledge;
+    suspects.take(knowledge.suspects ?? []);
     this.#lastChanges.set(name, lastChange);
     const answeredAt = storeAnswer === undefined ? undefined : this.#answers.take(storeAnswer);
     if (lastChange > view.lastChange) {
--- a/packages/entry/src/peers/peer-messages.ts
+++ b/packages/entry/src/peers/peer-messages.ts
@@ -5,6 +5,7 @@
 import { inFlightSchema } from './in-flight.js';
 import { decodeRows } from './rows.js';
 import { storeAnswerSchema } from './store-answers.js';
+import { suspectsSchema } from './suspect-rows.js';
 import { startsSchema, toldRegionsSchema } from './told-fleet.js';
 
 /** Name of the notification that carries a {@link HostReport} in a datagram. */
@@ -43,6 +44,8 @@
   remembered: z.number().nonnegative().default(0),
   /** Use of client accounts' limits; absent where there was none. */
   accounts: accountUsageSchema.optional(),
+  /** Requests that were at targets when these ended; absent where there is nothing to tell. */
+  suspects: suspectsSchema.optional(),
 };
 
 /** Numbers of reports by the host's name, as rows of text. */
--- a/packages/entry/src/request/answer-writer.ts
+++ b/packages/entry/src/request/answer-writer.ts
@@ -6,7 +6,7 @@
 import type { HeaderDialect } from './dialect.js';
 import { passOnHeaders } from './pass-on-headers.js';
 import type { Refusal } from './refusal.js';
-import { sendRefusal, statusOf } from './refusal.js';
+import { mayComeBack, sendRefusal, statusOf } from './refusal.js';
 import type { RequestMetrics } from './request-metrics.js';
 import type { TargetAnswer } from './target-client.js';
 
@@ -91,7 +91,7 @@
     const retryAfterSeconds = jittered(random, mean);
     sendRefusal(
       exchange,
-      refusal.ran === 'no' ? { ...refusal, retryAfterSeconds } : refusal,
+      mayComeBack(refusal) ? { ...refusal, retryAfterSeconds } : refusal,
       dialect.ownAnswerHeaders(requestId),
     );
     events.write({
--- a/packages/entry/src/request/refusal.ts
+++ b/packages/entry/src/request/refusal.ts
@@ -17,6 +17,7 @@
   'no-target': 503,
   overload: 503,
   'target-refused': 503,
+  'targets-end': 503,
   'connect-failed': 503,
   'deadline-not-run': 503,
   deadline: 504,
@@ -41,6 +42,11 @@
   return ran === 'unknown' && status === 503 ? 502 : status;
 }
 
+/** Whether a caller is told when to ask again: nothing ran, and it may be otherwise by then. */
+export function mayComeBack({ reason, ran }: Refusal): boolean {
+  return ran === 'no' && reason !== 'targets-end';
+}
+
 /** Answers a caller that gets no target's answer. */
 export function sendRefusal(
   { request, response }: Pick<CallerExchange, 'request' | 'response'>,
--- a/packages/entry/src/request/request-forwarder.ts
+++ b/packages/entry/src/request/request-forwarder.ts
@@ -17,6 +17,7 @@
 import { keyOf } from './caller-exchange.js';
 import type { HeaderDialect } from './dialect.js';
 import type { EventLog } from '../events.js';
+import type { SuspectDuty } from '../suspects/suspect-duty.js';
 import type { TargetEnds } from '../suspects/target-ends.js';
 import type { Refusal } from './refusal.js';
 import type { RequestMetrics } from './request-metrics.js';
@@ -51,6 +52,7 @@
   readonly accounts: AccountDuty;
   readonly client: TargetClient;
   readonly ends: TargetEnds;
+  readonly suspects: SuspectDuty;
   readonly dialect: HeaderDialect;
   readonly bodies: BodyReader;
   readonly answers: AnswerWriter;
@@ -202,7 +204,8 @@
   async #tryTargets(journey: Journey): Promise<void> {
     const { exchange, service, progress } = journey;
     for (;;) {
-      const target = progress.endedBy === undefined ? this.#chooseTarget(journey) : undefined;
+      const mayRun = progress.endedBy === undefined && this.#mayRun(journey);
+      const target = mayRun ? this.#chooseTarget(journey) : undefined;
       if (target === undefined) {
         this.#finish(journey);
         return;
@@ -224,6 +227,17 @@
     }
   }
 
+  /** Whether targets may run it; looked at before each send, since other hosts may know more by then. */
+  #mayRun({ exchange, progress }: Journey): boolean {
+    const { suspects } = this.#options;
+    const fingerprint = suspects.find(exchange);
+    if (fingerprint === undefined || suspects.mayRun(fingerprint)) {
+      return true;
+    }
+    progress.turnAway();
+    return false;
+  }
+
   #chooseTarget({ exchange, service, progress }: Journey): TargetState | undefined {
     const { largeHosts, ownName, state } = this.#options;
     const { route } = exchange;
--- a/packages/entry/src/request/request-progress.ts
+++ b/packages/entry/src/request/request-progress.ts
@@ -57,6 +57,14 @@
     }
   }
 
+  /** It is not to be sent to any target from now on, since targets end under it. */
+  turnAway(): void {
+    if (!this.#mayHaveRun) {
+      const detail = 'targets ended when they ran this request';
+      this.#refusal = { reason: 'targets-end', detail, ran: 'no' };
+    }
+  }
+
   /** The answer to give where no further send follows: a target's own, or a refusal. */
   get outcome(): TargetAnswer | Refusal {
     if (this.#serverError !== undefined) {
--- a/packages/entry/src/request/target-send.ts
+++ b/packages/entry/src/request/target-send.ts
@@ -1,6 +1,7 @@
 import type { ServiceTargets, TargetState } from '@ferrylock/routing';
 import type { Clock } from '@ferrylock/utils';
 import type { EventLog } from '../events.js';
+import type { SuspectDuty } from '../suspects/suspect-duty.js';
 import type { TargetEnds } from '../suspects/target-ends.js';
 import type { RoutedExchange } from './caller-exchange.js';
 import { keyOf } from './caller-exchange.js';
@@ -43,6 +44,8 @@
   readonly client: TargetClient;
   /** Told of answers that were lost. */
   readonly ends: TargetEnds;
+  /** Told of answers to requests under which targets ended. */
+  readonly suspects: SuspectDuty;
   readonly dialect: HeaderDialect;
   readonly service: ServiceTargets;
   readonly target: TargetState;
@@ -133,6 +136,7 @@
       target.recordShed(now);
       return { kind: 'not-run', reason: 'target-refused', detail: `status ${answer.status}` };
     }
+    this.#recordInnocence(answer);
     service.recordAnswer(target, {
       route: exchange.route,
       key: keyOf(exchange),
@@ -142,6 +146,18 @@
     return { kind: 'answered', answer, facts };
   }
 
+  /** The target has run the request and lives. An answer that ends with its connection may be its last. */
+  #recordInnocence({ isDelimited }: TargetAnswer): void {
+    const { exchange, target, ends, suspects } = this.#options;
+    if (ends.takeBack(target.id)) {
+      suspects.recordLife(target.id);
+    }
+    const fingerprint = isDelimited ? suspects.find(exchange) : undefined;
+    if (fingerprint !== undefined) {
+      suspects.recordAnswer(fingerprint);
+    }
+  }
+
   #judgeFailure(isUnsent: boolean, error: NodeJS.ErrnoException): SendVerdict {
     const { target, service, exchange, ends } = this.#options;
     if (this.#endedBy !== undefined) {
--- a/packages/entry/src/suspects/request-fingerprint.ts
+++ b/packages/entry/src/suspects/request-fingerprint.ts
@@ -1,10 +1,11 @@
 import { createHash } from 'node:crypto';
+import { FINGERPRINT_HEAD_CHARACTERS } from '@ferrylock/routing';
+import { stableHash } from '@ferrylock/utils';
 import type { RoutedExchange } from '../request/caller-exchange.js';
 
-/** Characters of six bits each. Enough that few other requests share them while some are looked for. */
-const HEAD_CHARACTERS = 10;
-/** With the head 132 bits: nobody finds a request of its own that stands for somebody else's. */
-const BODY_CHARACTERS = 12;
+/** Of six bits each: nobody finds a request of its own that stands for somebody else's. */
+const DIGEST_CHARACTERS = 20;
+const HEAD_RADIX = 36;
 
 /** What a request is known by when it comes again under another id. */
 export type FingerprintedRequest = Pick<
@@ -12,11 +13,12 @@
   'path' | 'request' | 'route' | 'account' | 'body'
 >;
 
-/** The part of a fingerprint that does not need the body. */
-export function fingerprintHead({ request, route, path, account }: FingerprintedRequest): string {
-  const { method = 'GET' } = request;
-  const text = JSON.stringify([method, route.host, path, account?.name ?? null]);
-  return digest(text, HEAD_CHARACTERS);
+/**
+ * The beginning of a fingerprint. It needs no body and a sixth of a microsecond, so that requests which nobody
+ * looks for are told apart by it.
+ */
+export function fingerprintHead(request: FingerprintedRequest): string {
+  return headOf(describe(request));
 }
 
 /**
@@ -24,9 +26,20 @@
  * that sends it again gives it another id, and may come to any host.
  */
 export function requestFingerprint(request: FingerprintedRequest): string {
-  return fingerprintHead(request) + digest(request.body ?? '', BODY_CHARACTERS);
+  const text = describe(request);
+  const hash = createHash('sha256')
+    .update(text)
+    .update('\n')
+    .update(request.body ?? '');
+  return headOf(text) + hash.digest('base64url').slice(0, DIGEST_CHARACTERS);
+}
+
+/** All but the body. No line end stands in the first three, so that no part is taken for another. */
+function describe({ request, route, path, account }: FingerprintedRequest): string {
+  const owner = account === undefined ? '' : JSON.stringify(account.name);
+  return `${request.method ?? 'GET'}\n${route.host}\n${path}\n${owner}`;
 }
 
-function digest(content: string | Buffer, characters: number): string {
-  return createHash('sha256').update(content).digest('base64url').slice(0, characters);
+function headOf(text: string): string {
+  return stableHash(text).toString(HEAD_RADIX).padStart(FINGERPRINT_HEAD_CHARACTERS, '0');
 }
--- a/packages/entry/src/suspects/target-ends.ts
+++ b/packages/entry/src/suspects/target-ends.ts
@@ -65,6 +65,11 @@
     this.#options = options;
   }
 
+  /** Whether a target was seen to end that answers all the same; tells it once. */
+  takeBack(id: string): boolean {
+    return this.#endedAt.size > 0 && this.#endedAt.delete(id);
+  }
+
   /** A target's connection closed before it had answered a request. */
   recordLoss(service: ServiceTargets, state: TargetState, exchange: RoutedExchange): void {
     if (!isServing(service, state)) {
--- a/packages/entry/tests/fixtures.ts
+++ b/packages/entry/tests/fixtures.ts
@@ -9,6 +9,7 @@
 import { EventLog } from '../src/index.js';
 import { AccountDuty } from '../src/accounts/account-duty.js';
 import type { RoutedExchange } from '../src/request/caller-exchange.js';
+import { SuspectDuty } from '../src/suspects/suspect-duty.js';
 import { RoutingState } from '../src/routing/routing-state.js';
 
 export function makeHostRecord(changes: Partial<EntryHostRecord> = {}): EntryHostRecord {
@@ -97,6 +98,11 @@
   });
 }
 
+/** Turns suspects away at a host that is alone. */
+export function makeSuspectDuty(clock: Clock, events: EventLog): SuspectDuty {
+  return new SuspectDuty({ clock, events, onNews: () => undefined });
+}
+
 /** An event log that keeps what is written to it. */
 export function keepEvents(): { log: EventLog; events: EntryEvent[] } {
   const events: EntryEvent[] = [];
--- a/packages/entry/tests/metrics-text.test.ts
+++ b/packages/entry/tests/metrics-text.test.ts
@@ -9,6 +9,7 @@
   targetsKnown: 46,
   logLinesDropped: 3,
   targetsEnded: 2,
+  suspectRequests: 1,
 };
 
 describe('metricsText', () => {
@@ -28,6 +29,7 @@
         'ferrylock_belief_age_seconds 0.25',
         'ferrylock_configuration_version 7',
         'ferrylock_targets_ended_total 2',
+        'ferrylock_suspect_requests 1',
       ]),
     );
   });
--- a/packages/entry/tests/peers/message-writer.test.ts
+++ b/packages/entry/tests/peers/message-writer.test.ts
@@ -12,6 +12,7 @@
   makeHostRecord,
   makeRoutingState,
   makeAccountDuty,
+  makeSuspectDuty,
 } from '../fixtures.js';
 
 /** A relay, `host-1`, that hears `host-2` and not `host-3`. */
@@ -33,6 +34,7 @@
     peers,
     loads: new PeerLoads(clock, makeRoutingState(clock, view, log)),
     accounts: makeAccountDuty(clock),
+    suspects: makeSuspectDuty(clock, log),
     answers: new StoreAnswers(clock),
     own: makeHostRecord({ name: 'host-1' }),
     isLeaving: () => false,
--- a/packages/entry/tests/peers/peer-exchange.test.ts
+++ b/packages/entry/tests/peers/peer-exchange.test.ts
@@ -15,6 +15,7 @@
   makeRoutingState,
   targetChange,
   makeAccountDuty,
+  makeSuspectDuty,
 } from '../fixtures.js';
 
 async function makeExchange() {
@@ -34,6 +35,7 @@
     peers,
     loads: new PeerLoads(clock, state),
     accounts: makeAccountDuty(clock),
+    suspects: makeSuspectDuty(clock, log),
     changes,
     storeAnsweredAt,
     isLeaving: () => false,
--- /dev/null
+++ b/packages/entry/tests/peers/suspect-rows.test.ts
@@ -0,0 +1,37 @@
+import { describe, expect, it } from 'vitest';
+import { encodeSuspects, suspectsSchema } from '../../src/peers/suspect-rows.js';
+
+const SUSPECTS = [
+  {
+    fingerprint: 'one',
+    ends: [
+      { target: 'a', ageMilliseconds: 0, answers: 0 },
+      { target: 'b', ageMilliseconds: 61_200, answers: 1 },
+    ],
+  },
+  { fingerprint: 'two', ends: [{ target: 'a', ageMilliseconds: 300, answers: 0 }] },
+];
+
+describe('suspects as rows of text', () => {
+  it('come out as they went in, to a tenth of a second', () => {
+    expect(suspectsSchema.parse(encodeSuspects(SUSPECTS))).toEqual(SUSPECTS);
+    expect(encodeSuspects([])).toBe('');
+  });
+
+  it('take some 40 bytes for a request at one target', () => {
+    const fingerprint = '0a1b2c3'.padEnd(27, 'x');
+    const ends = [{ target: 'i-4d8ec641ab', ageMilliseconds: 2_000, answers: 0 }];
+    expect(encodeSuspects([{ fingerprint, ends }]).length).toBeLessThan(48);
+  });
+
+  it.each([
+    ['an age that is no number', 'one\ta\tx\t0\tb\t3\t0'],
+    ['a negative age', 'one\ta\t-1\t0\tb\t3\t0'],
+    ['no target', 'one\t\t1\t0\tb\t3\t0'],
+    ['half an end', 'one\tb\t3\t0\ta\t1'],
+  ])('pass an end over that has %s', (_case, text) => {
+    expect(suspectsSchema.parse(text)).toEqual([
+      { fingerprint: 'one', ends: [{ target: 'b', ageMilliseconds: 300, answers: 0 }] },
+    ]);
+  });
+});
--- a/packages/entry/tests/request/request-progress.test.ts
+++ b/packages/entry/tests/request/request-progress.test.ts
@@ -95,4 +95,19 @@
     progress.take(refused);
     expect(statusAfter(progress)).toBe(500);
   });
+
+  it('says that nothing ran of a request that is turned away before its first send', () => {
+    const progress = makeProgress('repeatable');
+    progress.turnAway();
+    expect(progress.outcome).toMatchObject({ reason: 'targets-end', ran: 'no' });
+    expect(statusAfter(progress)).toBe(503);
+  });
+
+  it('does not say so of one that is turned away after a target ended under it', () => {
+    const progress = makeProgress('repeatable', 3);
+    progress.take(broken);
+    progress.turnAway();
+    expect(progress.outcome).toMatchObject({ reason: 'target-failed', ran: 'unknown' });
+    expect(statusAfter(progress)).toBe(502);
+  });
 });
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -59,3 +59,9 @@
 export { TargetState } from './target-state.js';
 export { ColdGate } from './cold-gate.js';
 export type { ColdDemand } from './cold-gate.js';
+export {
+  ENDS_OF_SUSPECT,
+  FINGERPRINT_HEAD_CHARACTERS,
+  SuspectTable,
+} from './suspects/suspect-table.js';
+export type { SuspectEnd, ToldSuspect } from './suspects/suspect-table.js';
--- a/packages/test-utils/src/crash-fleet.ts
+++ b/packages/test-utils/src/crash-fleet.ts
@@ -1,4 +1,5 @@
 import type { Route, TargetRecord, TargetState } from '@ferrylock/routing';
+import { SuspectTable } from '@ferrylock/routing';
 import type { Clock, Random } from '@ferrylock/utils';
 import { randomIndex, SeededRandom } from '@ferrylock/utils';
 import type { EntryFleetHost } from './entry-fleet.js';
@@ -12,6 +13,8 @@
 const COLD_MILLISECONDS = 3_000;
 /** The record of a target that ended goes after three heartbeats of silence. */
 const RECORD_GONE_AFTER_MILLISECONDS = 2_500;
+/** From a lost answer to the host's knowing that the target has ended. */
+const NOTICED_AFTER_MILLISECONDS = 60;
 /** Targets that one request is sent to. */
 const MOST_SENDS = 2;
 /** Work on an ordinary look-up. */
@@ -20,12 +23,17 @@
 /** How a request ended for its caller. */
 export type CrashFleetAnswer = 'answered' | 'lost' | 'no-room' | 'turned-away';
 
+/** Nothing, as before; each host by what it saw itself; or all by what they told one another. */
+export type CrashFleetWay = 'nothing' | 'alone' | 'together';
+
 export interface CrashFleetOptions {
   readonly clock: Clock;
   readonly hosts: number;
   readonly domains: number;
   readonly targets: number;
   readonly seed: number;
+  /** What hosts make of ends: what they do in truth, unless another way is given to compare with. */
+  readonly way?: CrashFleetWay;
   /** Part of its runs that such a request ends its target in. */
   readonly crashShare?: number;
 }
@@ -67,10 +75,14 @@
   readonly fleet: EntryFleet;
   /** Sends of requests that end targets, as they reached these. */
   readonly sends: CrashFleetSend[] = [];
+  /** Ordinary requests that were turned away. */
+  readonly turnedAway: { readonly at: number; readonly name: string }[] = [];
   /** Answers by the request's name. */
   readonly answers = new Map<string, Record<CrashFleetAnswer, number>>();
   readonly #options: CrashFleetOptions;
   readonly #random: Random;
+  /** What hosts know that do not tell one another, by the host's name. */
+  readonly #alone = new Map<string, SuspectTable>();
   readonly #processes = new Map<string, EmulatedProcess>();
 
   constructor(options: CrashFleetOptions) {
@@ -117,6 +129,9 @@
       'turned-away': 0,
     };
     counts[answer]++;
+    if (answer === 'turned-away' && !request.crashes) {
+      this.turnedAway.push({ at: this.#options.clock.now(), name: request.name });
+    }
     this.answers.set(request.name, counts);
     return answer;
   }
@@ -132,6 +147,9 @@
   async #forward(host: EntryFleetHost, request: RepeatedRequest): Promise<CrashFleetAnswer> {
     const tried = new Set<string>();
     for (let sends = 0; sends < MOST_SENDS; sends++) {
+      if (!this.#mayRun(host, request)) {
+        return sends === 0 ? 'turned-away' : 'lost';
+      }
       const target = this.#choose(host, request, tried);
       if (target === undefined) {
         return sends === 0 ? 'no-room' : 'lost';
@@ -183,7 +201,9 @@
     target.inFlight--;
     if (outcome === 'lost') {
       service?.recordFailure(target);
+      this.#notice(host, request, target);
     } else {
+      this.#recordAnswer(host, request);
       const [route] = this.fleet.routes;
       const milliseconds = clock.now() - sentAt;
       if (route !== undefined) {
@@ -210,6 +230,39 @@
     });
   }
 
+  #mayRun({ member, record }: EntryFleetHost, { name }: RepeatedRequest): boolean {
+    return this.#options.way === 'alone'
+      ? !this.#tableOf(record.name).isSuspect(name)
+      : member.suspects.mayRun(name);
+  }
+
+  #recordAnswer({ member, record }: EntryFleetHost, { name }: RepeatedRequest): void {
+    this.#tableOf(record.name).recordAnswer(name);
+    member.suspects.recordAnswer(name);
+  }
+
+  #tableOf(host: string): SuspectTable {
+    const known = this.#alone.get(host) ?? new SuspectTable(this.#options.clock);
+    this.#alone.set(host, known);
+    return known;
+  }
+
+  /** The host comes to know that the target has ended, and that it had the request. */
+  #notice(
+    { member, record }: EntryFleetHost,
+    { name }: RepeatedRequest,
+    { id }: TargetState,
+  ): void {
+    const lost = { fingerprint: name, requestId: name, route: name, path: name };
+    this.#options.clock.after(NOTICED_AFTER_MILLISECONDS, () => {
+      if (this.#options.way === 'alone') {
+        this.#tableOf(record.name).recordEnd(name, id);
+      } else if (this.#options.way !== 'nothing') {
+        member.suspects.recordEnd({ target: id, requests: [lost] });
+      }
+    });
+  }
+
   #end(process: EmulatedProcess): void {
     if (process.isEnded) {
       return;
--- a/packages/test-utils/src/index.ts
+++ b/packages/test-utils/src/index.ts
@@ -1,5 +1,10 @@
 export { CrashFleet } from './crash-fleet.js';
-export type { CrashFleetOptions, CrashFleetSend, RepeatedRequest } from './crash-fleet.js';
+export type {
+  CrashFleetOptions,
+  CrashFleetSend,
+  CrashFleetWay,
+  RepeatedRequest,
+} from './crash-fleet.js';
 export { EtcdStandIn } from './etcd-stand-in.js';
 export { EntryFleet } from './entry-fleet.js';
 export type { EntryFleetCounts, EntryFleetOptions } from './entry-fleet.js';
