fix: a start of a target is its id and when it began; values that cannot be read name nothing

Cause: TargetRecord.id was taken for the name of a start, and what was known under it held for ever: a target that drained and came back under its id was never used again, and a record of an earlier start counted as news. A value that could not be read was left out of the changes, so that the record before it stayed in force. Change: records carry when their start began, and their sequence. A later start under an id replaces what was known of the one before (leaving, load, failures, objects, cold time, its part of the cold cap); records of earlier starts and earlier records of the same change nothing. Hosts tell loads by start, and ends of targets too. A value that cannot be read takes out what lay under its key, as a record that went, but for the configuration, of which the last stays in force; one line for each value, and ferrylock_unreadable_records_total. Also: an end of a target is taken back only for an answer to what was sent before it; the next start may answer in its name. Ruled out: starts compared across targets or with a clock of ours (each tells by its own clock); the place in keys' orders by start (keys would move at each restart).

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -162,6 +162,7 @@
       peersHeard: hosts.filter((host) => peers.isAlive(host)).length,
       targetsKnown: services.reduce((sum, { targets }) => sum + targets.size, 0),
       logLinesDropped: events.dropped,
+      unreadableRecords: events.unreadable,
       targetsEnded: this.#ends.count,
       suspectRequests: this.#member.suspects.table.suspects.length,
     });
--- a/packages/entry/src/events.ts
+++ b/packages/entry/src/events.ts
@@ -54,7 +54,7 @@
     revision: z.number(),
     changes: z.array(z.string()),
   }),
-  /** A record could not be decoded and is left out. */
+  /** A value could not be decoded. It names nothing, but for a configuration: the one before stays in force. */
   z.object({ event: z.literal('bad-record'), key: z.string(), detail: z.string() }),
   /** A configuration is in force. */
   z.object({
@@ -75,9 +75,12 @@
   z.object({
     event: z.literal('target'),
     target: z.string(),
+    /** This start of it, where it tells when it began. */
+    start: z.string().optional(),
     service: z.string(),
     state: z.enum([
       'added',
+      'reborn',
       'draining',
       'vanished',
       'returned',
@@ -216,6 +219,8 @@
 export class EventLog {
   /** Lines left out so far. */
   dropped = 0;
+  /** Values of the store that could not be read so far. */
+  unreadable = 0;
   #linesLeft = MOST_REQUEST_LINES_PER_SECOND;
 
   /** @param backlogBytes - what was written and is not read yet */
@@ -225,6 +230,7 @@
   ) {}
 
   write(written: EntryEvent): void {
+    this.unreadable += Number(written.event === 'bad-record');
     if (this.backlogBytes() > MOST_BACKLOG_BYTES) {
       this.dropped++;
       return;
--- a/packages/entry/src/fleet/fleet-record.ts
+++ b/packages/entry/src/fleet/fleet-record.ts
@@ -34,6 +34,8 @@
   /** The store's revision that made the change. */
   revision: z.number().int(),
   record: fleetRecordSchema.optional(),
+  /** Whether there is a value that cannot be read, as another program writes it. Such a value names nothing. */
+  isUnreadable: z.boolean().optional(),
 });
 
 export type EntryHostRecord = z.infer<typeof entryHostRecordSchema>;
--- a/packages/entry/src/fleet/fleet-view.ts
+++ b/packages/entry/src/fleet/fleet-view.ts
@@ -108,8 +108,11 @@
     return { afterRevision: revision, revision: this.revision, changes };
   }
 
-  #isNews({ key, revision }: FleetChange): boolean {
-    return revision > (this.#latest.get(key)?.revision ?? 0);
+  /** A configuration stays in force where what comes after it cannot be read; all else is gone then. */
+  #isNews({ key, revision, isUnreadable }: FleetChange): boolean {
+    const latest = this.#latest.get(key);
+    const isKept = isUnreadable === true && latest?.record?.kind === 'configuration';
+    return revision > (latest?.revision ?? 0) && !isKept;
   }
 
   #take(news: readonly FleetChange[]): void {
--- a/packages/entry/src/metrics-text.ts
+++ b/packages/entry/src/metrics-text.ts
@@ -12,6 +12,8 @@
   readonly peersHeard: number;
   readonly targetsKnown: number;
   readonly logLinesDropped: number;
+  /** Values of the store that could not be read, each counted once. */
+  readonly unreadableRecords: number;
   /** Targets that ended with answers to this host outstanding. */
   readonly targetsEnded: number;
   /** Requests that are turned away since targets end under them. */
@@ -28,6 +30,7 @@
     ...gauge('targets_known', figures.targetsKnown),
     ...counter('retries_total', metrics.retries),
     ...counter('log_lines_dropped_total', figures.logLinesDropped),
+    ...counter('unreadable_records_total', figures.unreadableRecords),
     ...counter('targets_ended_total', figures.targetsEnded),
     ...gauge('suspect_requests', figures.suspectRequests),
     '# TYPE ferrylock_requests_total counter',
--- a/packages/entry/src/peers/in-flight.ts
+++ b/packages/entry/src/peers/in-flight.ts
@@ -2,19 +2,19 @@
 import type { Counts } from './counts.js';
 import { decodeRows, encodeRows } from './rows.js';
 
-/** Requests at targets, by the target's id; those without any are left out. */
+/** Requests at targets, by the name of the target's start; those without any are left out. */
 export type InFlight = Counts;
 
 /** Requests at targets as rows of text. */
 export const inFlightSchema = z.string().transform((text, context): InFlight => {
   const inFlight: Record<string, number> = {};
-  for (const [id = '', count = ''] of decodeRows(text)) {
+  for (const [start = '', count = ''] of decodeRows(text)) {
     const value = Number.parseInt(count, 10);
     if (Number.isNaN(value)) {
-      context.addIssue(`expected rows of a target’s id and a count, not ${id}: ${count}`);
+      context.addIssue(`expected rows of a target’s start and a count, not ${start}: ${count}`);
       return z.NEVER;
     }
-    inFlight[id] = value;
+    inFlight[start] = value;
   }
   return inFlight;
 });
--- a/packages/entry/src/peers/peer-loads.ts
+++ b/packages/entry/src/peers/peer-loads.ts
@@ -37,7 +37,7 @@
     for (const { targets } of this.#state.services) {
       for (const target of targets.values()) {
         if (target.inFlight > 0) {
-          inFlight[target.id] = target.inFlight;
+          inFlight[target.start] = target.inFlight;
         }
       }
     }
@@ -62,8 +62,8 @@
    * and most have.
    */
   onlyBusy(inFlight: InFlight): InFlight {
-    const isBusy = ([id, count]: [string, number]): boolean =>
-      count >= BUSY_SHARE * (this.#target(id)?.record.slots ?? 1);
+    const isBusy = ([start, count]: [string, number]): boolean =>
+      count >= BUSY_SHARE * (this.#target(start)?.record.slots ?? 1);
     return Object.fromEntries(Object.entries(inFlight).filter(isBusy));
   }
 
@@ -76,8 +76,8 @@
   take(source: string, inFlight: InFlight): void {
     this.#forget(source);
     this.#sources.set(source, { inFlight, toldAt: this.#clock.now() });
-    for (const [id, count] of Object.entries(inFlight)) {
-      this.#target(id)?.othersInFlight.set(source, count);
+    for (const [start, count] of Object.entries(inFlight)) {
+      this.#target(start)?.othersInFlight.set(source, count);
     }
   }
 
@@ -111,12 +111,13 @@
   }
 
   #forget(source: string): void {
-    for (const id of Object.keys(this.#sources.get(source)?.inFlight ?? {})) {
-      this.#target(id)?.othersInFlight.delete(source);
+    for (const start of Object.keys(this.#sources.get(source)?.inFlight ?? {})) {
+      this.#target(start)?.othersInFlight.delete(source);
     }
   }
 
-  #target(id: string) {
-    return this.#state.serviceOfTarget(id)?.targets.get(id);
+  /** What is told of a former start says nothing of the present one. */
+  #target(start: string) {
+    return this.#state.targetOfStart(start);
   }
 }
--- a/packages/entry/src/request/target-send.ts
+++ b/packages/entry/src/request/target-send.ts
@@ -149,8 +149,8 @@
   /** The target has run the request and lives. An answer that ends with its connection may be its last. */
   #recordInnocence({ isDelimited }: TargetAnswer): void {
     const { exchange, target, ends, suspects } = this.#options;
-    if (ends.takeBack(target.id)) {
-      suspects.recordLife(target.id);
+    if (ends.takeBack(target, this.sentAt)) {
+      suspects.recordLife(target.start);
     }
     const fingerprint = isDelimited ? suspects.find(exchange) : undefined;
     if (fingerprint !== undefined) {
--- a/packages/entry/src/routing/routing-state.ts
+++ b/packages/entry/src/routing/routing-state.ts
@@ -8,8 +8,15 @@
   RouteConfiguration,
   ShiftBound,
   TargetRecord,
+  TargetState,
+} from '@ferrylock/routing';
+import {
+  AccountTable,
+  idOfStart,
+  OverflowAllowance,
+  RouteTable,
+  ServiceTargets,
 } from '@ferrylock/routing';
-import { AccountTable, OverflowAllowance, RouteTable, ServiceTargets } from '@ferrylock/routing';
 import type { Clock } from '@ferrylock/utils';
 import { Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
@@ -103,6 +110,13 @@
     return this.#serviceOfTarget.get(id);
   }
 
+  /** A start of a target, unless another start of it is known by now. */
+  targetOfStart(name: string): TargetState | undefined {
+    const id = idOfStart(name);
+    const target = this.#serviceOfTarget.get(id)?.targets.get(id);
+    return target?.start === name ? target : undefined;
+  }
+
   /** A connection to a target came up in so many milliseconds. */
   recordConnected(address: string, milliseconds: number): void {
     const place = this.#placeOfAddress.get(address);
@@ -193,15 +207,23 @@
 
   #putTarget(key: string, record: TargetRecord): void {
     const service = this.#serviceNamed(record.service);
-    const wasLeaving = service.targets.get(record.id)?.leaving === true;
-    const isNew = service.put(record);
+    const former = this.#serviceOfTarget.get(record.id);
+    if (former !== undefined && former !== service) {
+      this.#removeTarget(record.id, 'serves another service');
+    }
+    const known = service.targets.get(record.id);
+    const outcome = service.put(record);
+    if (outcome === 'old') {
+      return;
+    }
+    const wasLeaving = outcome === 'updated' && known?.leaving === true;
     this.#serviceOfTarget.set(record.id, service);
     this.#targetOfKey.set(key, record.id);
     const { address, failureDomain } = record;
     this.#placeOfAddress.set(address, { service, failureDomain });
     const returned = this.#vanished.remove(record.id);
-    if (returned || isNew) {
-      this.#logTarget(record.id, service, isNew ? 'added' : 'returned');
+    if (returned || outcome !== 'updated') {
+      this.#logTarget(record.id, service, outcome === 'updated' ? 'returned' : outcome);
     }
     if (!wasLeaving && record.state === 'draining') {
       this.#logTarget(record.id, service, 'draining');
@@ -264,10 +286,17 @@
   #logTarget(
     target: string,
     service: ServiceTargets,
-    state: 'added' | 'draining' | 'vanished' | 'returned' | 'removed',
+    state: 'added' | 'reborn' | 'draining' | 'vanished' | 'returned' | 'removed',
     detail?: string,
   ): void {
-    const event = { event: 'target', target, service: service.name, state } as const;
+    const start = service.targets.get(target)?.start;
+    const event = {
+      event: 'target',
+      target,
+      ...(start === undefined ? {} : { start }),
+      service: service.name,
+      state,
+    } as const;
     this.#options.events.write(detail === undefined ? event : { ...event, detail });
   }
 }
--- a/packages/entry/src/suspects/target-ends.ts
+++ b/packages/entry/src/suspects/target-ends.ts
@@ -30,6 +30,7 @@
 
 /** A target's end, with requests of this host that it had. */
 export interface TargetEnd {
+  /** The start that ended; another may have the same id by now. */
   readonly target: string;
   readonly requests: readonly LostRequest[];
 }
@@ -65,9 +66,13 @@
     this.#options = options;
   }
 
-  /** Whether a target was seen to end that answers all the same; tells it once. */
-  takeBack(id: string): boolean {
-    return this.#endedAt.size > 0 && this.#endedAt.delete(id);
+  /**
+   * Whether a target was seen to end that answers a request which it was sent before: then it lives. What is sent
+   * later may be answered by its next start, in its name. Tells it once.
+   */
+  takeBack({ start }: TargetState, sentAt: number): boolean {
+    const endedAt = this.#endedAt.size > 0 ? this.#endedAt.get(start) : undefined;
+    return endedAt !== undefined && sentAt < endedAt && this.#endedAt.delete(start);
   }
 
   /** A target's connection closed before it had answered a request. */
@@ -76,14 +81,14 @@
       return;
     }
     const request = describeRequest(exchange);
-    const known = this.#losses.get(state.id);
+    const known = this.#losses.get(state.start);
     if (known !== undefined) {
       known.requests.push(request);
-    } else if (this.#endedAt.has(state.id)) {
+    } else if (this.#endedAt.has(state.start)) {
       this.#tellEnd({ service, state, requests: [request] });
     } else {
       const losses = { service, state, requests: [request] };
-      this.#losses.set(state.id, losses);
+      this.#losses.set(state.start, losses);
       this.#options.clock.after(CHECK_AFTER_MILLISECONDS, () => {
         void this.#check(losses);
       });
@@ -93,19 +98,19 @@
   async #check(losses: Losses): Promise<void> {
     const { service, state } = losses;
     const check = await this.#options.checkConnection(state.record.address);
-    this.#losses.delete(state.id);
+    this.#losses.delete(state.start);
     if (check === 'refused' && isServing(service, state)) {
       this.count++;
-      this.#remember(state.id);
+      this.#remember(state.start);
       this.#tellEnd(losses);
     } else {
       this.#log(losses, check);
     }
   }
 
-  #remember(id: string): void {
+  #remember(start: string): void {
     const now = this.#options.clock.now();
-    this.#endedAt.set(id, now);
+    this.#endedAt.set(start, now);
     for (const [oldest, at] of this.#endedAt) {
       if (now - at < REMEMBERED_MILLISECONDS) {
         return;
@@ -116,7 +121,7 @@
 
   #tellEnd(losses: Losses): void {
     this.#log(losses, 'refused');
-    this.#options.onEnd({ target: losses.state.id, requests: losses.requests });
+    this.#options.onEnd({ target: losses.state.start, requests: losses.requests });
   }
 
   #log({ service, state, requests }: Losses, connection: ConnectionCheck): void {
--- a/packages/entry/tests/metrics-text.test.ts
+++ b/packages/entry/tests/metrics-text.test.ts
@@ -9,6 +9,7 @@
   targetsKnown: 46,
   logLinesDropped: 3,
   targetsEnded: 2,
+  unreadableRecords: 4,
   suspectRequests: 1,
 };
 
@@ -30,6 +31,7 @@
         'ferrylock_configuration_version 7',
         'ferrylock_targets_ended_total 2',
         'ferrylock_suspect_requests 1',
+        'ferrylock_unreadable_records_total 4',
       ]),
     );
   });
--- a/packages/entry/tests/peers/peer-loads.test.ts
+++ b/packages/entry/tests/peers/peer-loads.test.ts
@@ -18,7 +18,14 @@
     }
     return found;
   };
-  return { clock, loads: new PeerLoads(clock, state), target };
+  const reborn = (id: string): void => {
+    view.apply({
+      afterRevision: 1,
+      revision: 2,
+      changes: [targetChange(2, { id, bornAt: 1_000 })],
+    });
+  };
+  return { clock, loads: new PeerLoads(clock, state), target, reborn };
 }
 
 describe('PeerLoads', () => {
@@ -31,6 +38,17 @@
     expect(target('b').load(clock.now())).toBe(0);
   });
 
+  it('counts what is told of a target’s present start, and nothing of a former one', () => {
+    const { clock, loads, target, reborn } = makeLoads();
+    loads.take('host h1', { a: 2 });
+    reborn('a');
+    expect(target('a').load(clock.now())).toBe(0);
+    loads.take('host h1', { a: 2, [target('a').start]: 1 });
+    expect(target('a').load(clock.now())).toBe(1);
+    target('a').inFlight = 3;
+    expect(loads.report(1)).toEqual({ [target('a').start]: 3 });
+  });
+
   it('leaves its own part out of what is told of the whole fleet', () => {
     const { loads, target, clock } = makeLoads();
     target('a').inFlight = 2;
--- a/packages/entry/tests/suspects/target-ends.test.ts
+++ b/packages/entry/tests/suspects/target-ends.test.ts
@@ -76,6 +76,30 @@
     expect(told[1]).toMatchObject({ target: 'target-1', requests: [{ path: '/late' }] });
   });
 
+  it('takes an end back for an answer to what was sent before it, and for no later one', async () => {
+    const { clock, target, ends, lose } = setUp();
+    const sentBefore = clock.now();
+    lose('/one');
+    await clock.advance(100);
+    expect(ends.takeBack(target, clock.now())).toBe(false);
+    expect(ends.takeBack(target, sentBefore)).toBe(true);
+    expect(ends.takeBack(target, sentBefore)).toBe(false);
+  });
+
+  it('counts the ends of two starts under one id as two', async () => {
+    const { clock, view, service, ends, told, lose } = setUp();
+    lose('/one');
+    await clock.advance(100);
+    view.apply({ afterRevision: 2, revision: 3, changes: [targetChange(3, { bornAt: 2_000 })] });
+    const next = service.targets.get('target-1');
+    if (next !== undefined) {
+      ends.recordLoss(service, next, makeExchange({ path: '/one' }));
+    }
+    await clock.advance(100);
+    expect(ends.count).toBe(2);
+    expect(new Set(told.map(({ target }) => target)).size).toBe(2);
+  });
+
   it('expects the end of a target that leaves', async () => {
     const { clock, view, checked, told, lose } = setUp();
     view.apply({
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -48,7 +48,12 @@
 export { RequestRate } from './request-rate.js';
 export { RoundTrips } from './round-trips.js';
 export { ServiceTargets } from './service-targets.js';
-export type { SeekingRequest, ServiceTargetsOptions, TargetAnswered } from './service-targets.js';
+export type {
+  PutOutcome,
+  SeekingRequest,
+  ServiceTargetsOptions,
+  TargetAnswered,
+} from './service-targets.js';
 export { OverflowAllowance } from './shift-bound.js';
 export type { ShiftBound } from './shift-bound.js';
 export { TargetChoice } from './target-choice.js';
@@ -56,6 +61,8 @@
 export { WorkTimes } from './work-times.js';
 export { targetRecordSchema } from './target-record.js';
 export type { TargetRecord } from './target-record.js';
+export { compareStarts, idOfStart, startName } from './target-start.js';
+export type { TargetStart } from './target-start.js';
 export { TargetState } from './target-state.js';
 export { ColdGate } from './cold-gate.js';
 export type { ColdDemand } from './cold-gate.js';
--- a/packages/routing/src/region-placement.ts
+++ b/packages/routing/src/region-placement.ts
@@ -105,6 +105,13 @@
     return [...this.#presentOrderOf(key), ...this.#absent];
   }
 
+  /** A region has a target: until parts are decided anew, for up to a second, it comes last rather than never. */
+  addRegion(region: string): void {
+    if (!this.#parts.has(region) && !this.#absent.includes(region)) {
+      this.#absent = [...this.#absent, region];
+    }
+  }
+
   #presentOrderOf(key: string): string[] {
     const { ownRegion, leftOut } = this.#options;
     const ranked = [...this.#parts.keys()]
--- a/packages/routing/src/service-targets.ts
+++ b/packages/routing/src/service-targets.ts
@@ -15,6 +15,7 @@
 import type { PlacedDemand } from './target-choice.js';
 import { TargetChoice } from './target-choice.js';
 import type { TargetRecord } from './target-record.js';
+import { compareStarts } from './target-start.js';
 import { TargetState } from './target-state.js';
 import { WorkTimes } from './work-times.js';
 
@@ -61,6 +62,9 @@
   readonly loadPerSlot: number;
 }
 
+/** What a record brought: a target, another start of one, or news or none of a known start. */
+export type PutOutcome = 'added' | 'reborn' | 'updated' | 'old';
+
 /** One service's targets, how to choose among them, and what its requests may draw on. */
 export class ServiceTargets {
   readonly targets = new Map<string, TargetState>();
@@ -97,18 +101,33 @@
     this.asked = new RequestRate(options.clock);
   }
 
-  /** Takes a record on; tells whether it was not known before. */
-  put(record: TargetRecord): boolean {
-    const now = this.#options.clock.now();
+  /**
+   * Takes a record on. Nothing that is known of a start holds for the next one under the same id: neither that it
+   * leaves, nor its load, its failures or the objects that it had.
+   */
+  put(record: TargetRecord): PutOutcome {
     const known = this.targets.get(record.id);
-    if (known !== undefined) {
-      known.update(record, now);
-      return false;
+    if (known === undefined) {
+      this.#add(record);
+      return 'added';
+    }
+    if (isOldNews(record, known.record)) {
+      return 'old';
     }
-    const added = new TargetState(record, now);
+    if (compareStarts(record, known.record) === 'later') {
+      this.remove(record.id);
+      this.#add(record);
+      return 'reborn';
+    }
+    known.update(record, this.#options.clock.now());
+    return 'updated';
+  }
+
+  #add(record: TargetRecord): void {
+    const added = new TargetState(record, this.#options.clock.now());
     this.targets.set(record.id, added);
     this.choice.add(added);
-    return true;
+    this.placement.addRegion(this.#options.regionOf(record.failureDomain));
   }
 
   remove(id: string): void {
@@ -117,7 +136,7 @@
       return;
     }
     this.targets.delete(id);
-    this.coldGate.forget(id);
+    this.coldGate.forget(target.start);
     this.choice.remove(target);
   }
 
@@ -140,7 +159,7 @@
     };
     const chosen = this.choice.choose(demand, this.#options.clock.now(), (target) =>
       this.coldGate.tryTake({
-        target: target.id,
+        target: target.start,
         requestsPerSecond: this.settings?.coldRequestsPerSecond ?? Infinity,
         ownName,
         hosts: coldSenders,
@@ -244,3 +263,13 @@
     return known;
   }
 }
+
+/** Whether a record is of an earlier start than the known one, or was written earlier by the same. */
+function isOldNews(record: TargetRecord, known: TargetRecord): boolean {
+  const start = compareStarts(record, known);
+  const isBefore =
+    record.sequence !== undefined &&
+    known.sequence !== undefined &&
+    record.sequence < known.sequence;
+  return start === 'earlier' || (start === 'same' && record.bornAt !== undefined && isBefore);
+}
--- a/packages/routing/src/target-record.ts
+++ b/packages/routing/src/target-record.ts
@@ -1,9 +1,16 @@
 import { z } from 'zod';
 
+/** The year 2100: what is said to begin later was not written by a target. */
+const LATEST_BIRTH = Date.UTC(2100);
+
 /** What is recorded about one start of a target. */
 export const targetRecordSchema = z.object({
-  /** Names this start of the target; a restart has another one. */
+  /** The target's name; another start of it may have the same. */
   id: z.string().min(1),
+  /** When this start began, in Unix milliseconds by its own clock; absent where the target does not tell. */
+  bornAt: z.number().int().nonnegative().max(LATEST_BIRTH).optional(),
+  /** Grows with each record of one start; absent where the target does not tell. */
+  sequence: z.number().int().optional(),
   service: z.string().min(1),
   /** IP number and port. */
   address: z.string().min(1),
--- a/packages/routing/src/target-state.ts
+++ b/packages/routing/src/target-state.ts
@@ -2,6 +2,7 @@
 import type { LeftOut } from './mechanisms.js';
 import { NOTHING_LEFT_OUT } from './mechanisms.js';
 import type { TargetRecord } from './target-record.js';
+import { startName } from './target-start.js';
 
 /** How long a load that the target itself told is taken as a lower bound of the present one. */
 const LOAD_REPORT_LIFE_MILLISECONDS = 150;
@@ -19,7 +20,9 @@
 /** One target as this entry host sees it: what is recorded, what it tells, and how tries end. */
 export class TargetState {
   record: TargetRecord;
-  /** By which keys rank it among the others. */
+  /** Names this start of it, by which other hosts and later starts tell it apart. */
+  readonly start: string;
+  /** By which keys rank it among the others; the same for all its starts. */
   readonly idHash: number;
   /** Requests of this entry host at the target now. */
   inFlight = 0;
@@ -39,6 +42,7 @@
 
   constructor(record: TargetRecord, now: number) {
     this.record = record;
+    this.start = startName(record);
     this.idHash = stableHash(record.id);
     this.update(record, now);
   }
--- a/packages/routing/tests/service-targets.test.ts
+++ b/packages/routing/tests/service-targets.test.ts
@@ -145,3 +145,68 @@
     expect(service.clearingMilliseconds(route, 0)).toBeCloseTo(100 * most);
   });
 });
+
+describe('another start of a target under its id', () => {
+  const first = makeTargetRecord({ bornAt: 1_000, sequence: 900 });
+
+  function setUpFirst() {
+    const { clock, service } = makeService();
+    service.put(first);
+    const target = service.targets.get(first.id);
+    if (target === undefined) {
+      throw new Error('the target is not known');
+    }
+    return { clock, service, target };
+  }
+
+  it('has nothing of what was known of the one before', () => {
+    const { clock, service, target } = setUpFirst();
+    const now = clock.now();
+    target.leaving = true;
+    target.inFlight = 4;
+    target.othersInFlight.set('host-2', 3);
+    target.recordLoad(9, now);
+    target.recordFailure(now);
+    target.recordAnswer('object-1', now);
+    expect(service.put({ ...first, bornAt: 2_000, sequence: 1 })).toBe('reborn');
+    const next = service.targets.get(first.id);
+    expect(next?.start).not.toBe(target.start);
+    expect(next?.leaving).toBe(false);
+    expect(next?.load(now)).toBe(0);
+    expect(next?.isEjected(now)).toBe(false);
+    expect(next?.isFamiliar('object-1', now)).toBe(false);
+    expect(choose(service, 'object-1')).toBe(next);
+  });
+
+  it('is cold from its first moment, whatever was sent to the one before', () => {
+    const { service } = setUpFirst();
+    service.put({ ...first, bornAt: 2_000, sequence: 1, coldMilliseconds: 3_000 });
+    expect(choose(service, 'object-1')?.isCold(0)).toBe(true);
+  });
+
+  it.each([
+    ['an earlier start', { bornAt: 999, sequence: 5_000 }],
+    ['the same start, written earlier', { sequence: 899 }],
+  ])('is not undone by a record of %s', (_case, changes) => {
+    const { service, target } = setUpFirst();
+    expect(service.put({ ...first, ...changes, state: 'draining' })).toBe('old');
+    expect(service.targets.get(first.id)).toBe(target);
+    expect(target.leaving).toBe(false);
+  });
+
+  it('keeps its place in each key’s order, so that keys do not move', () => {
+    const { service } = makeService();
+    addTargets(service, 'aarhus-hal', 8);
+    const before = KEYS.map((key) => choose(service, key)?.id);
+    for (const { record } of [...service.targets.values()]) {
+      service.put({ ...record, bornAt: 2_000 });
+    }
+    expect(KEYS.map((key) => choose(service, key)?.id)).toEqual(before);
+  });
+
+  it('is taken for the same where targets do not tell when they began', () => {
+    const { service } = makeService();
+    service.put(makeTargetRecord());
+    expect(service.put(makeTargetRecord({ sequence: 1 }))).toBe('updated');
+  });
+});
--- /dev/null
+++ b/packages/routing/tests/target-start.test.ts
@@ -0,0 +1,20 @@
+import { describe, expect, it } from 'vitest';
+import { compareStarts, idOfStart, startName } from '../src/index.js';
+
+describe('a start of a target', () => {
+  it('is named by its id and when it began, or by its id alone', () => {
+    expect(startName({ id: 'i-7' })).toBe('i-7');
+    expect(idOfStart(startName({ id: 'i-7', bornAt: 1_780_000_000_000 }))).toBe('i-7');
+    expect(startName({ id: 'i-7', bornAt: 1 })).not.toBe(startName({ id: 'i-7', bornAt: 2 }));
+  });
+
+  it.each([
+    [1, 2, 'earlier'],
+    [2, 1, 'later'],
+    [1, 1, 'same'],
+    [undefined, 1, 'same'],
+    [1, undefined, 'later'],
+  ] as const)('born at %s is, beside one born at %s, %s', (one, other, expected) => {
+    expect(compareStarts({ id: 'a', bornAt: one }, { id: 'a', bornAt: other })).toBe(expected);
+  });
+});
