--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -10,6 +10,7 @@
 import { overload } from './benches/overload.js';
 import { proxy } from './benches/proxy.js';
 import { quotas } from './benches/quotas.js';
+import { suspectCost } from './benches/suspect-cost.js';
 import { suspects } from './benches/suspects.js';
 import { spread } from './benches/spread.js';
 import type { Bench } from './report.js';
@@ -29,5 +30,6 @@
   proxy,
   quotas,
   spread,
+  'suspect-cost': suspectCost,
   suspects,
 };
--- a/packages/bench/src/benches/accounts.ts
+++ b/packages/bench/src/benches/accounts.ts
@@ -3,6 +3,7 @@
 import { makeAccount, makeRoute } from '@ferrylock/test-utils';
 import { SystemClock, systemRandom } from '@ferrylock/utils';
 import { measureHostProcess } from '../fleet/measure-host-process.js';
+import { processorMilliseconds } from '../processor-milliseconds.js';
 import type { Bench } from '../report.js';
 import { atMost, rounded } from '../report.js';
 
@@ -26,14 +27,6 @@
 );
 const routes = Array.from({ length: ROUTES }, (_, index) => makeRoute({ name: `route-${index}` }));
 
-/** Milliseconds of processor time that some work takes. */
-function processorMilliseconds(work: () => void): number {
-  const before = process.cpuUsage();
-  work();
-  const { user, system } = process.cpuUsage(before);
-  return (user + system) / 1_000;
-}
-
 function makeDuty(): AccountDuty {
   const duty = new AccountDuty({
     clock: new SystemClock(),
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -36,4 +36,7 @@
   TargetInstruction,
 } from './request/dialect.js';
 export { passOnHeaders } from './request/pass-on-headers.js';
+export type { FingerprintedRequest } from './suspects/request-fingerprint.js';
+export { requestFingerprint } from './suspects/request-fingerprint.js';
+export { SuspectDuty } from './suspects/suspect-duty.js';
 export { WITHOUT_SCHEMAS } from './servers/without-schemas.js';
--- a/packages/entry/src/suspects/suspect-records.ts
+++ b/packages/entry/src/suspects/suspect-records.ts
@@ -145,6 +145,10 @@
       this.#held.set(suspect.fingerprint, seen);
       this.#dueAt.delete(suspect.fingerprint);
       this.#teach(seen);
+      if (suspect.state === 'cleared') {
+        // Also what ended meanwhile, of which whoever cleared it did not know.
+        this.#options.table.recordAnswer(suspect.fingerprint, ANSWERS_TO_TAKE_BACK);
+      }
     } else if (record === undefined && held !== undefined) {
       this.#fingerprintOfKey.delete(key);
       held.revision = 0;
--- a/packages/entry/tests/suspects/suspect-records.test.ts
+++ b/packages/entry/tests/suspects/suspect-records.test.ts
@@ -121,6 +121,24 @@
     expect(await stateOf(store, clock)).toBeUndefined();
   });
 
+  it('let a request in that an operator clears, whatever hosts have seen since the record', async () => {
+    const { clock, store, all } = setUp();
+    all.forEach((host) => {
+      suspect(host);
+    });
+    await clock.advance(4_000);
+    all.forEach((host) => {
+      suspect(host, ['d', 'e', 'f']);
+    });
+    store.put('suspects/bad', {
+      kind: 'suspect',
+      suspect: { fingerprint: 'bad', targets: TARGETS, state: 'cleared' },
+    });
+    await clock.advance(4_000);
+    expect(all.some(({ table }) => table.isSuspect('bad'))).toBe(false);
+    expect(await stateOf(store, clock)).toBe('cleared');
+  });
+
   it('take a request on again that ends targets after it was cleared', async () => {
     const { clock, store, all } = setUp();
     all.forEach((host) => {
