--- a/packages/test-utils/src/target-stand-in.ts
+++ b/packages/test-utils/src/target-stand-in.ts
@@ -25,6 +25,9 @@
 /** A target that counts what it is given; nothing the system says of itself is taken on trust. */
 export class TargetStandIn {
   behaviour: TargetBehaviour = 'answer';
+  /** Requests of this path end it as soon as it begins to run one. */
+  endsAtPath: string | undefined;
+  hasEnded = false;
   /** Whether its answers and probes say that it is about to stop. */
   leaving = false;
   reportedLoad: number | undefined;
@@ -83,6 +86,9 @@
   }
 
   async stop(): Promise<void> {
+    if (!this.#server.listening) {
+      return;
+    }
     this.#server.closeAllConnections();
     await new Promise((resolve) => this.#server.close(resolve));
   }
@@ -106,6 +112,11 @@
       return;
     }
     this.#begin(request);
+    if (request.url === this.endsAtPath) {
+      this.hasEnded = true;
+      this.#server.close();
+      this.#server.closeAllConnections();
+    }
     try {
       const bytes = await countBody(request);
       this.wholeBodies.push(bytes);
