--- a/packages/entry/src/events.ts
+++ b/packages/entry/src/events.ts
@@ -205,7 +205,8 @@
   return (
     REQUEST_EVENTS.has(event.event) ||
     (event.event === 'target' && REQUEST_STATES.has(event.state)) ||
-    (event.event === 'answers-lost' && event.connection !== 'refused')
+    (event.event === 'answers-lost' && event.connection !== 'refused') ||
+    (event.event === 'suspect-record' && !event.isWritten)
   );
 }
 
--- a/packages/entry/src/suspects/suspect-records.ts
+++ b/packages/entry/src/suspects/suspect-records.ts
@@ -26,6 +26,9 @@
  */
 export const TRIAL_AFTER_MILLISECONDS = 2_000;
 
+/** Time between two claims of this host about one request: a store that refuses is not asked at each call of it. */
+const CLAIM_PAUSE_MILLISECONDS = 2_000;
+
 export interface SuspectRecordsOptions {
   readonly clock: Clock;
   readonly random: Random;
@@ -56,6 +59,8 @@
   /** When this host writes about a request, unless another does before. */
   readonly #dueAt = new Map<string, number>();
   readonly #writing = new Set<string>();
+  /** When this host last claimed a trial. */
+  readonly #claimedAt = new Map<string, number>();
 
   constructor(options: SuspectRecordsOptions) {
     this.#options = options;
@@ -75,13 +80,15 @@
   async claimTrial(fingerprint: string): Promise<boolean> {
     const { clock, table } = this.#options;
     const held = this.#held.get(fingerprint);
-    const isOver = clock.now() - table.lastEndAt(fingerprint) >= TRIAL_AFTER_MILLISECONDS;
-    return (
-      held?.state === 'suspected' &&
-      held.revision > 0 &&
-      isOver &&
-      (await this.#write(held, 'tried'))
-    );
+    const now = clock.now();
+    const isOver = now - table.lastEndAt(fingerprint) >= TRIAL_AFTER_MILLISECONDS;
+    const claimedAt = this.#claimedAt.get(fingerprint) ?? -Infinity;
+    const isFirst = now - claimedAt >= CLAIM_PAUSE_MILLISECONDS;
+    if (held?.state !== 'suspected' || held.revision === 0 || !isOver || !isFirst) {
+      return false;
+    }
+    this.#claimedAt.set(fingerprint, now);
+    return this.#write(held, 'tried');
   }
 
   /** To be called a few times a second. */
@@ -112,6 +119,7 @@
     if (revision === 0 && !table.isSuspect(fingerprint)) {
       this.#held.delete(fingerprint);
       this.#dueAt.delete(fingerprint);
+      this.#claimedAt.delete(fingerprint);
     }
     if (state === 'cleared' || revision === 0) {
       return;
--- a/packages/entry/tests/suspects/suspect-records.test.ts
+++ b/packages/entry/tests/suspects/suspect-records.test.ts
@@ -95,6 +95,28 @@
     expect(all.some(({ records }) => records.mayBeTried('bad'))).toBe(false);
   });
 
+  it('ask a store that refuses once in two seconds, however often the request comes', async () => {
+    const { clock, store, all } = setUp(1);
+    const [host] = all;
+    if (host === undefined) {
+      return;
+    }
+    suspect(host);
+    await clock.advance(4_000);
+    // Another host was first, and this one has not heard of it.
+    const calls = store.calls.write;
+    host.view.apply = () => true;
+    store.put('suspects/bad', {
+      kind: 'suspect',
+      suspect: { fingerprint: 'bad', targets: TARGETS, state: 'tried' },
+    });
+    for (let call = 0; call < 100; call++) {
+      void host.records.claimTrial('bad');
+      await clock.advance(40);
+    }
+    expect(store.calls.write - calls).toBeLessThanOrEqual(2 * 2);
+  });
+
   it('give no trial while targets have just ended under the request, nor before a record is held', async () => {
     const { clock, all } = setUp(1);
     const [host] = all;
