--- a/packages/entry/src/request/request-forwarder.ts
+++ b/packages/entry/src/request/request-forwarder.ts
@@ -1,24 +1,19 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { setImmediate } from 'node:timers/promises';
-import type {
-  ClientAccount,
-  QuotaRefusal,
-  Route,
-  ServiceTargets,
-  TargetState,
-} from '@ferrylock/routing';
+import type { ClientAccount, Route, ServiceTargets, TargetState } from '@ferrylock/routing';
 import { ShareBalancer } from '@ferrylock/routing';
 import type { Clock } from '@ferrylock/utils';
 import type { AccountDuty } from '../accounts/account-duty.js';
 import type { RoutingState } from '../routing/routing-state.js';
 import type { AnswerWriter } from './answer-writer.js';
-import type { BodyFailure, BodyReader } from './body-reader.js';
+import type { BodyReader } from './body-reader.js';
 import type { CallerExchange, RoutedExchange } from './caller-exchange.js';
 import { keyOf } from './caller-exchange.js';
 import type { HeaderDialect } from './dialect.js';
 import type { EventLog } from '../events.js';
 import type { SuspectDuty } from '../suspects/suspect-duty.js';
 import type { TargetEnds } from '../suspects/target-ends.js';
+import { ADMISSION_DETAILS, badRequest, bodyRefusal, notReady, overQuota } from './own-refusals.js';
 import type { Refusal } from './refusal.js';
 import type { RequestMetrics } from './request-metrics.js';
 import { RequestProgress } from './request-progress.js';
@@ -29,21 +24,6 @@
 /** Deadline of a caller that names none: the route's own timeout ends it sooner. */
 const NO_DEADLINE = Infinity;
 const MILLISECONDS_PER_SECOND = 1_000;
-/** What a caller is told whose body did not come whole; one that is gone is told nothing. */
-const BODY_REFUSALS = {
-  'too-large': 'too-large',
-  'too-many-bytes-held': 'too-many-bytes-held',
-  'too-late': 'deadline-not-run',
-  'caller-gone': 'caller-gone',
-} as const;
-/** What a caller is told that may not use a route. */
-const ADMISSION_DETAILS = {
-  'unknown-key': 'the route needs the key of a client account',
-  'no-common-region': 'no region may serve both the route and the client account',
-} as const;
-/** What a caller is told that came before the configuration did. */
-const NOT_READY_RETRY_SECONDS = 1;
-
 export interface RequestForwarderOptions {
   readonly clock: Clock;
   readonly events: EventLog;
@@ -338,26 +318,3 @@
       return { ran: verdict.wasSent ? 'unknown' : 'no', reason: verdict.cause, detail: '' };
   }
 }
-
-function notReady(): Refusal {
-  const detail = 'this entry host has not learned the configuration yet';
-  return { reason: 'not-ready', detail, ran: 'no', retryAfterSeconds: NOT_READY_RETRY_SECONDS };
-}
-
-function overQuota({ retryAfterSeconds, ...figures }: QuotaRefusal): Refusal {
-  const { limit, usedHere, usedElsewhere } = figures;
-  const detail = `limit ${limit} in a window, used ${usedHere} here and ${usedElsewhere} elsewhere`;
-  return { reason: 'over-quota', detail, ran: 'no', retryAfterSeconds };
-}
-
-function badRequest(detail: string): Refusal {
-  return { reason: 'bad-request', detail, ran: 'no' };
-}
-
-function bodyRefusal(failure: BodyFailure): Refusal {
-  return {
-    reason: BODY_REFUSALS[failure],
-    detail: `the body could not be read: ${failure}`,
-    ran: 'no',
-  };
-}
--- a/packages/entry/tests/suspects/crashing-requests.test.ts
+++ b/packages/entry/tests/suspects/crashing-requests.test.ts
@@ -116,6 +116,24 @@
     expect(sendsAfter(crashes, 'bad')).toBeLessThanOrEqual(1);
   });
 
+  it('is known to a host that was cut off from the others, and to one that started, once they are back', async () => {
+    const { clock, crashes } = await setUp(12, 20);
+    const [cut, started] = [3, 7];
+    crashes.fleet.setCut(cut, true);
+    await clock.advance(2_000);
+    await callWave(crashes, clock, crashing('bad'));
+    void crashes.fleet.restartHost(started, 1_000);
+    await clock.advance(5_000);
+    crashes.fleet.setCut(cut, false);
+    await clock.advance(CONNECTIVITY_MILLISECONDS);
+    const trial = crashes.ask(0, crashing('bad'));
+    await clock.advance(1_000);
+    expect(await trial).toBe('lost');
+    for (const host of [cut, started, cut, started]) {
+      expect(await asked(clock, crashes, host, crashing('bad'))).toBe('turned-away');
+    }
+  });
+
   it('is let run once more by one of all hosts, however long it is asked for', async () => {
     const { clock, crashes } = await setUp(12, 20);
     for (let wave = 0; wave < 60; wave++) {
