fix: a late record of an earlier start does not take a target out that serves another service by now

Found on reading: a target whose start is known at one service was taken out there by any record under its id that names another service, also by one of an earlier start. Old news is told before anything else is done.

--- a/packages/entry/src/request/target-send.ts
+++ b/packages/entry/src/request/target-send.ts
@@ -136,7 +136,7 @@
       target.recordShed(now);
       return { kind: 'not-run', reason: 'target-refused', detail: `status ${answer.status}` };
     }
-    this.#recordInnocence(answer);
+    this.#recordRun(answer);
     service.recordAnswer(target, {
       route: exchange.route,
       key: keyOf(exchange),
@@ -147,7 +147,7 @@
   }
 
   /** The target has run the request and lives. An answer that ends with its connection may be its last. */
-  #recordInnocence({ isDelimited }: TargetAnswer): void {
+  #recordRun({ isDelimited }: TargetAnswer): void {
     const { exchange, target, ends, suspects } = this.#options;
     if (ends.takeBack(target, this.sentAt)) {
       suspects.recordLife(target.start);
--- a/packages/entry/src/routing/routing-state.ts
+++ b/packages/entry/src/routing/routing-state.ts
@@ -208,14 +208,14 @@
   #putTarget(key: string, record: TargetRecord): void {
     const service = this.#serviceNamed(record.service);
     const former = this.#serviceOfTarget.get(record.id);
+    if (former?.isOldNews(record) === true) {
+      return;
+    }
     if (former !== undefined && former !== service) {
       this.#removeTarget(record.id, 'serves another service');
     }
     const known = service.targets.get(record.id);
     const outcome = service.put(record);
-    if (outcome === 'old') {
-      return;
-    }
     const wasLeaving = outcome === 'updated' && known?.leaving === true;
     this.#serviceOfTarget.set(record.id, service);
     this.#targetOfKey.set(key, record.id);
--- /dev/null
+++ b/packages/entry/tests/routing/routing-state.test.ts
@@ -0,0 +1,56 @@
+import { FakeClock } from '@ferrylock/test-utils';
+import type { TargetRecord } from '@ferrylock/routing';
+import { describe, expect, it } from 'vitest';
+import { FleetView } from '../../src/index.js';
+import { keepEvents, makeRoutingState, targetChange } from '../fixtures.js';
+
+function setUp() {
+  const { log, events } = keepEvents();
+  const view = new FleetView();
+  const state = makeRoutingState(new FakeClock(), view, log);
+  let revision = 1;
+  const put = (changes: Partial<TargetRecord>): void => {
+    revision++;
+    view.apply({
+      afterRevision: revision - 1,
+      revision,
+      changes: [targetChange(revision, changes)],
+    });
+  };
+  view.replace(1, []);
+  const serviceOf = (id = 'target-1') => state.serviceOfTarget(id)?.name;
+  const find = (id = 'target-1') => state.serviceOfTarget(id)?.targets.get(id);
+  return { put, serviceOf, find, events };
+}
+
+describe('RoutingState', () => {
+  it('knows a target at one service alone, the one of its last start', () => {
+    const { put, serviceOf, find } = setUp();
+    put({ bornAt: 1_000, service: 'verdict-api' });
+    put({ bornAt: 2_000, service: 'sorter-gate' });
+    expect(serviceOf()).toBe('sorter-gate');
+    expect(find()?.record.bornAt).toBe(2_000);
+  });
+
+  it.each([
+    ['of the same service', {}],
+    ['of another service', { service: 'verdict-api' }],
+  ])('changes nothing by a late record of an earlier start %s', (_case, changes) => {
+    const { put, serviceOf, find, events } = setUp();
+    put({ bornAt: 2_000, sequence: 1, service: 'sorter-gate' });
+    const target = find();
+    const lines = events.length;
+    put({ bornAt: 1_000, sequence: 900, service: 'sorter-gate', state: 'draining', ...changes });
+    expect(serviceOf()).toBe('sorter-gate');
+    expect(find()).toBe(target);
+    expect(target?.leaving).toBe(false);
+    expect(events).toHaveLength(lines);
+  });
+
+  it('writes a line for another start of a target', () => {
+    const { put, events } = setUp();
+    put({ bornAt: 1_000, state: 'draining' });
+    put({ bornAt: 2_000 });
+    expect(events.at(-1)).toMatchObject({ event: 'target', target: 'target-1', state: 'reborn' });
+  });
+});
--- a/packages/routing/src/service-targets.ts
+++ b/packages/routing/src/service-targets.ts
@@ -62,8 +62,8 @@
   readonly loadPerSlot: number;
 }
 
-/** What a record brought: a target, another start of one, or news or none of a known start. */
-export type PutOutcome = 'added' | 'reborn' | 'updated' | 'old';
+/** What a record brought: a target, another start of one, or news of a known start. */
+export type PutOutcome = 'added' | 'reborn' | 'updated';
 
 /** One service's targets, how to choose among them, and what its requests may draw on. */
 export class ServiceTargets {
@@ -101,8 +101,18 @@
     this.asked = new RequestRate(options.clock);
   }
 
+  /** Whether a record is of an earlier start than the known one, or was written earlier by the same. */
+  isOldNews(record: TargetRecord): boolean {
+    const known = this.targets.get(record.id)?.record;
+    if (known === undefined || record.bornAt === undefined) {
+      return false;
+    }
+    const start = compareStarts(record, known);
+    return start === 'earlier' || (start === 'same' && isWrittenBefore(record, known));
+  }
+
   /**
-   * Takes a record on. Nothing that is known of a start holds for the next one under the same id: neither that it
+   * Takes a record on that is no old news. Nothing that is known of a start holds for the next one under the same id: neither that it
    * leaves, nor its load, its failures or the objects that it had.
    */
   put(record: TargetRecord): PutOutcome {
@@ -111,9 +121,6 @@
       this.#add(record);
       return 'added';
     }
-    if (isOldNews(record, known.record)) {
-      return 'old';
-    }
     if (compareStarts(record, known.record) === 'later') {
       this.remove(record.id);
       this.#add(record);
@@ -264,12 +271,7 @@
   }
 }
 
-/** Whether a record is of an earlier start than the known one, or was written earlier by the same. */
-function isOldNews(record: TargetRecord, known: TargetRecord): boolean {
-  const start = compareStarts(record, known);
-  const isBefore =
-    record.sequence !== undefined &&
-    known.sequence !== undefined &&
-    record.sequence < known.sequence;
-  return start === 'earlier' || (start === 'same' && record.bornAt !== undefined && isBefore);
+function isWrittenBefore(record: TargetRecord, other: TargetRecord): boolean {
+  const { sequence } = record;
+  return sequence !== undefined && other.sequence !== undefined && sequence < other.sequence;
 }
--- a/packages/routing/tests/service-targets.test.ts
+++ b/packages/routing/tests/service-targets.test.ts
@@ -187,11 +187,19 @@
   it.each([
     ['an earlier start', { bornAt: 999, sequence: 5_000 }],
     ['the same start, written earlier', { sequence: 899 }],
-  ])('is not undone by a record of %s', (_case, changes) => {
-    const { service, target } = setUpFirst();
-    expect(service.put({ ...first, ...changes, state: 'draining' })).toBe('old');
-    expect(service.targets.get(first.id)).toBe(target);
-    expect(target.leaving).toBe(false);
+  ])('is no news by a record of %s', (_case, changes) => {
+    const { service } = setUpFirst();
+    expect(service.isOldNews({ ...first, ...changes, state: 'draining' })).toBe(true);
+  });
+
+  it.each([
+    ['a later start', { bornAt: 1_001, sequence: 1 }],
+    ['the same start, written later', { sequence: 901 }],
+    ['the same start, written at the same time', {}],
+    ['another target', { id: 'target-2', bornAt: 1 }],
+  ])('is news by a record of %s', (_case, changes) => {
+    const { service } = setUpFirst();
+    expect(service.isOldNews({ ...first, ...changes })).toBe(false);
   });
 
   it('keeps its place in each key’s order, so that keys do not move', () => {
