--- a/packages/entry/tests/suspects/suspect-records.test.ts
+++ b/packages/entry/tests/suspects/suspect-records.test.ts
@@ -99,7 +99,7 @@
     const { clock, store, all } = setUp(1);
     const [host] = all;
     if (host === undefined) {
-      return;
+      throw new Error('no host');
     }
     suspect(host);
     await clock.advance(4_000);
@@ -121,7 +121,7 @@
     const { clock, all } = setUp(1);
     const [host] = all;
     if (host === undefined) {
-      return;
+      throw new Error('no host');
     }
     suspect(host);
     expect(await host.records.claimTrial('bad')).toBe(false);
