feat: what a target says of itself in its answers is read, written and counted

No line said whether a target that turned a request away asked for rest, for how long, or that a send went to one at rest. Change: entry hosts and ferrylockd read Retry-After of a target's 503, entry hosts Server-Leaving of any answer of the target itself (421 speaks of another); lines 'target resting', 'target leaving', 'unreadable-answer'; counters of rests, of targets that said that they leave and of sends to such a target; rests left, by target. No choice depends on it yet. What a target said is kept by start (TargetWord): the later end of a rest holds, an hour at most.

--- a/packages/bench/src/fleet/bench-headers.ts
+++ b/packages/bench/src/fleet/bench-headers.ts
@@ -33,6 +33,8 @@
       isSigned: headers[SIGNED] !== undefined,
       load: undefined,
       coldMilliseconds: undefined,
+      isLeaving: false,
+      restMilliseconds: undefined,
     };
   }
 
--- a/packages/daemon/src/components.ts
+++ b/packages/daemon/src/components.ts
@@ -20,6 +20,7 @@
 import { RequestPath } from './request/request-path.js';
 import { SuspectWatch } from './suspects/suspect-watch.js';
 import { TargetClient } from './request/target-client.js';
+import { TargetWords } from './request/target-words.js';
 import { OperatorCalls } from './rpc/operator-calls.js';
 import { LookupService } from './services/lookup-service.js';
 import { PlacementSeeder } from './services/placement-seeder.js';
@@ -117,7 +118,9 @@
   });
   const suspects = new SuspectWatch({ clock, logger, membership, checkConnection });
   membership.addParticipant(suspects);
+  const words = new TargetWords({ clock, logger });
   const requestPath = new RequestPath({
+    words,
     suspects,
     clock,
     logger,
--- a/packages/daemon/src/request/attempt.ts
+++ b/packages/daemon/src/request/attempt.ts
@@ -11,6 +11,7 @@
 import type { RequestBody } from './request-body.js';
 import { BodyTooLarge } from './request-body.js';
 import type { FlowControl, TargetClient, TargetExchange, TargetRequest } from './target-client.js';
+import type { TargetWords } from './target-words.js';
 
 const SHED_VALUE = 'not-run';
 const STATUS_WITHOUT_BODY = new Set([204, 304]);
@@ -32,6 +33,8 @@
   readonly response: ServerResponse;
   /** Whether a good answer counts only once the target has been given the whole body. */
   readonly wholeUpload: boolean;
+  /** Told what targets say of themselves. */
+  readonly words: TargetWords;
   /** The target as this daemon observes it; absent when another entry host is asked. */
   readonly target?: Target;
 }
@@ -60,6 +63,9 @@
     this.verdict = new Promise((resolve) => {
       this.#settle = resolve;
     });
+    if (options.target !== undefined) {
+      options.words.recordSend(options.target);
+    }
     options.client.send(options.request, this);
   }
 
@@ -88,11 +94,12 @@
   }
 
   answered(status: number, headers: IncomingHttpHeaders, flow: FlowControl): void {
-    const { response, target } = this.#options;
+    const { response, target, words } = this.#options;
     this.#status = status;
     if (target !== undefined) {
       target.reportedLoad = parseLoadReport(headers[LOAD_REPORT_HEADER]) ?? target.reportedLoad;
       target.leaving ||= headers[LEAVING_HEADER] !== undefined;
+      words.take(target, status, headers);
     }
     if (status === 503 && headers[SHED_HEADER] === SHED_VALUE) {
       this.#shed = true;
--- a/packages/daemon/src/request/request-path.ts
+++ b/packages/daemon/src/request/request-path.ts
@@ -21,6 +21,7 @@
 import type { KeyRegister } from './key-register.js';
 import { RequestBody } from './request-body.js';
 import type { TargetClient } from './target-client.js';
+import type { TargetWords } from './target-words.js';
 import { isNotRunByTarget, isWithoutLoad, observe } from './verdict-rules.js';
 
 /** Tries at different targets that one request gets at most. */
@@ -31,6 +32,7 @@
   readonly keys: KeyRegister;
   readonly membership: Membership;
   readonly suspects: SuspectWatch;
+  readonly words: TargetWords;
   readonly metrics: ServiceMetrics;
   readonly entryPlace: Place;
   readonly clock: Clock;
@@ -143,7 +145,7 @@
 
   /** Another process gave the key out: only that one may run it. */
   async #passToHolder(progress: Progress, incarnation: string): Promise<Verdict> {
-    const { membership, client } = this.#options;
+    const { membership, client, words } = this.#options;
     const holder = membership.knownMembers().find((member) => member.incarnation === incarnation);
     const isForwarded = progress.request.headers[FORWARDED_HEADER] !== undefined;
     if (holder === undefined || isForwarded) {
@@ -156,6 +158,7 @@
     const { request, response } = progress;
     const attempt = new Attempt({
       client,
+      words,
       body: read.value,
       response,
       wholeUpload: false,
@@ -266,7 +269,7 @@
 
   #send(progress: Progress, body: RequestBody, target: Target): Promise<Verdict> {
     const { request, response, service } = progress;
-    const { client, entryPlace, clock } = this.#options;
+    const { client, entryPlace, clock, words } = this.#options;
     if (progress.caller.isCancelled) {
       return Promise.resolve(notRun('caller-gone', 'the caller went away while waiting'));
     }
@@ -279,6 +282,7 @@
     const pace = pacer && ((bytes: number) => pacer.pass(bytes, progress.caller.signal));
     const attempt = new Attempt({
       client,
+      words,
       body,
       response,
       target,
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -20,6 +20,7 @@
 import { RequestForwarder } from './request/request-forwarder.js';
 import { RequestMetrics } from './request/request-metrics.js';
 import { TargetClient } from './request/target-client.js';
+import { TargetWords } from './request/target-words.js';
 import type { RoutingState } from './routing/routing-state.js';
 import { RunDelay } from './run-delay.js';
 import { checkConnection } from './suspects/check-connection.js';
@@ -55,6 +56,7 @@
   readonly #member: FleetMember;
   readonly #client: TargetClient;
   readonly #ends: TargetEnds;
+  readonly #words: TargetWords;
   readonly #directory: Directory;
   readonly #front: FrontServer;
   readonly #control: ControlServer;
@@ -92,6 +94,7 @@
         suspects.recordEnd(end);
       },
     });
+    this.#words = new TargetWords(options);
     this.#directory = new Directory({
       view,
       peers,
@@ -108,6 +111,7 @@
       client: this.#client,
       ends: this.#ends,
       suspects,
+      words: this.#words,
       bodies: new BodyReader(clock, settings.mostHeldBodyBytes),
       answers: new AnswerWriter({ ...options, view, metrics: this.metrics }),
       metrics: this.metrics,
@@ -164,6 +168,10 @@
       logLinesDropped: events.dropped,
       unreadableRecords: events.unreadable,
       targetsEnded: this.#ends.count,
+      rests: this.#words.rests,
+      unwantedSends: this.#words.unwantedSends,
+      targetsSaidLeaving: this.#words.leaving,
+      resting: state.restingTargets(),
       suspectRequests: this.#member.suspects.table.suspects.length,
     });
   }
--- a/packages/entry/src/events.ts
+++ b/packages/entry/src/events.ts
@@ -87,6 +87,8 @@
       'removed',
       'failing',
       'distrusted',
+      'leaving',
+      'resting',
     ]),
     detail: z.string().optional(),
   }),
@@ -104,6 +106,13 @@
     load: z.number(),
     beliefAgeMilliseconds: z.number(),
   }),
+  /** What a target said of itself in an answer could not be read; it counts as not said. */
+  z.object({
+    event: z.literal('unreadable-answer'),
+    target: z.string(),
+    service: z.string(),
+    detail: z.string(),
+  }),
   /**
    * A target's connections closed before it had answered these requests. `refused`: the target has ended, and
    * one of them may be why. `taken` and `unknown`: the answers were lost, the target lives as far as is known.
@@ -196,9 +205,10 @@
   'try-failed',
   'refused',
   'answered',
+  'unreadable-answer',
 ]);
 /** States of targets that requests bring about; the others come from records, which are few. */
-const REQUEST_STATES: ReadonlySet<string> = new Set(['failing', 'distrusted']);
+const REQUEST_STATES: ReadonlySet<string> = new Set(['failing', 'distrusted', 'resting']);
 
 /** Whether lines like it come as often as requests do. */
 function isOfRequest(event: EntryEvent): boolean {
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -35,6 +35,7 @@
   HeaderDialect,
   TargetInstruction,
 } from './request/dialect.js';
+export { headerValues, readRest } from './request/rest-header.js';
 export { passOnHeaders } from './request/pass-on-headers.js';
 export { encodeSuspects, suspectsSchema } from './peers/suspect-rows.js';
 export { checkConnection } from './suspects/check-connection.js';
--- a/packages/entry/src/metrics-text.ts
+++ b/packages/entry/src/metrics-text.ts
@@ -1,6 +1,14 @@
 import type { AccountRow } from './request/account-metrics.js';
 import type { ClassMetrics, RequestMetrics } from './request/request-metrics.js';
 
+/** A target that is at rest for this host. */
+export interface RestingTarget {
+  readonly service: string;
+  readonly target: string;
+  /** How much of its rest is left. */
+  readonly milliseconds: number;
+}
+
 const QUANTILES = [0.5, 0.9, 0.99];
 const MILLISECONDS_PER_SECOND = 1_000;
 
@@ -16,6 +24,14 @@
   readonly unreadableRecords: number;
   /** Targets that ended with answers to this host outstanding. */
   readonly targetsEnded: number;
+  /** Rests that targets asked this host for. */
+  readonly rests: number;
+  /** Requests that were sent to targets that had asked for rest, or said that they leave. */
+  readonly unwantedSends: number;
+  /** Targets that said in an answer that they leave. */
+  readonly targetsSaidLeaving: number;
+  /** Targets that have asked this host for rest, and how much of it is left. */
+  readonly resting: readonly RestingTarget[];
   /** Requests that are turned away since targets end under them. */
   readonly suspectRequests: number;
 }
@@ -33,6 +49,11 @@
     ...counter('unreadable_records_total', figures.unreadableRecords),
     ...counter('targets_ended_total', figures.targetsEnded),
     ...gauge('suspect_requests', figures.suspectRequests),
+    ...counter('rests_total', figures.rests),
+    ...counter('unwanted_sends_total', figures.unwantedSends),
+    ...counter('targets_said_leaving_total', figures.targetsSaidLeaving),
+    '# TYPE ferrylock_target_rest_seconds gauge',
+    ...figures.resting.map(restLine),
     '# TYPE ferrylock_requests_total counter',
     '# TYPE ferrylock_request_seconds summary',
   ];
@@ -70,6 +91,11 @@
   );
 }
 
+function restLine({ service, target, milliseconds }: RestingTarget): string {
+  const seconds = milliseconds / MILLISECONDS_PER_SECOND;
+  return `ferrylock_target_rest_seconds{service="${service}",target="${target}"} ${seconds}`;
+}
+
 /** The format's own word for infinity. */
 function number(value: number): string {
   return Number.isFinite(value) ? String(value) : '+Inf';
--- a/packages/entry/src/request/dialect.ts
+++ b/packages/entry/src/request/dialect.ts
@@ -36,6 +36,13 @@
   readonly load: number | undefined;
   /** The target stays slow for this much longer. */
   readonly coldMilliseconds: number | undefined;
+  /** The target says that it is about to stop and wants no new requests. */
+  readonly isLeaving: boolean;
+  /**
+   * The target turned the request away and wants none from this host for so long; undefined where it does not say, NaN
+   * where it makes no sense.
+   */
+  readonly restMilliseconds: number | undefined;
 }
 
 /** How callers and targets name what they say in headers. */
--- a/packages/entry/src/request/request-forwarder.ts
+++ b/packages/entry/src/request/request-forwarder.ts
@@ -20,6 +20,7 @@
 import type { TargetClient } from './target-client.js';
 import type { EndCause, SendVerdict } from './target-send.js';
 import { TargetSend } from './target-send.js';
+import type { TargetWords } from './target-words.js';
 
 /** Deadline of a caller that names none: the route's own timeout ends it sooner. */
 const NO_DEADLINE = Infinity;
@@ -33,6 +34,7 @@
   readonly client: TargetClient;
   readonly ends: TargetEnds;
   readonly suspects: SuspectDuty;
+  readonly words: TargetWords;
   readonly dialect: HeaderDialect;
   readonly bodies: BodyReader;
   readonly answers: AnswerWriter;
--- a/packages/entry/src/request/target-send.ts
+++ b/packages/entry/src/request/target-send.ts
@@ -8,6 +8,7 @@
 import type { AnswerFacts, HeaderDialect } from './dialect.js';
 import { passOnHeaders } from './pass-on-headers.js';
 import type { Send, TargetAnswer, TargetClient } from './target-client.js';
+import type { TargetWords } from './target-words.js';
 
 /** What one send to one target came to. */
 export type SendVerdict =
@@ -46,6 +47,8 @@
   readonly ends: TargetEnds;
   /** Told of answers to requests under which targets ended. */
   readonly suspects: SuspectDuty;
+  /** Told what targets say of themselves. */
+  readonly words: TargetWords;
   readonly dialect: HeaderDialect;
   readonly service: ServiceTargets;
   readonly target: TargetState;
@@ -61,11 +64,13 @@
   /** The target's load before this request, for each of its slots. */
   readonly #loadPerSlot: number;
   #endedBy: EndCause | undefined;
+  #facts: AnswerFacts | undefined;
 
   constructor(options: TargetSendOptions) {
     this.#options = options;
     this.sentAt = options.clock.now();
-    const { target } = options;
+    const { target, words } = options;
+    words.recordSend(target);
     this.#loadPerSlot = target.load(this.sentAt) / target.record.slots;
     target.inFlight++;
     this.#send = options.client.send({
@@ -99,21 +104,23 @@
   }
 
   #examine(status: number, headers: TargetAnswer['headers']): Error | undefined {
-    const { dialect, exchange } = this.#options;
+    const { dialect, exchange, words, service, target } = this.#options;
     const facts = dialect.readAnswer(status, headers);
-    if (facts.isNotRun || facts.isOtherTarget) {
+    this.#facts = facts;
+    if (facts.isOtherTarget) {
       return undefined;
     }
-    if (facts.requestId !== exchange.requestId) {
+    if (!facts.isNotRun && facts.requestId !== exchange.requestId) {
       return new StrayAnswer(`the answer is to request ${facts.requestId ?? 'without id'}`);
     }
-    return isSuccess(status) && !facts.isSigned
+    words.take(service, target, facts);
+    return !facts.isNotRun && isSuccess(status) && !facts.isSigned
       ? new UnsignedAnswer('a success without the target’s mark')
       : undefined;
   }
 
   async #judge(): Promise<SendVerdict> {
-    const { clock, dialect, exchange, target, service } = this.#options;
+    const { clock, exchange, target, service } = this.#options;
     const outcome = await this.#send.outcome;
     target.inFlight--;
     const now = clock.now();
@@ -121,7 +128,7 @@
       return this.#judgeFailure(outcome.kind === 'not-sent', outcome.error);
     }
     const { answer } = outcome;
-    const facts = dialect.readAnswer(answer.status, answer.headers);
+    const facts = this.#factsOf(answer);
     if (facts.load !== undefined) {
       target.recordLoad(facts.load, now);
     }
@@ -146,6 +153,11 @@
     return { kind: 'answered', answer, facts };
   }
 
+  /** Read when the answer began. */
+  #factsOf({ status, headers }: TargetAnswer): AnswerFacts {
+    return this.#facts ?? this.#options.dialect.readAnswer(status, headers);
+  }
+
   /** The target has run the request and lives. An answer that ends with its connection may be its last. */
   #recordRun({ isDelimited }: TargetAnswer): void {
     const { exchange, target, ends, suspects } = this.#options;
--- a/packages/entry/tests/metrics-text.test.ts
+++ b/packages/entry/tests/metrics-text.test.ts
@@ -11,6 +11,10 @@
   targetsEnded: 2,
   unreadableRecords: 4,
   suspectRequests: 1,
+  rests: 5,
+  unwantedSends: 6,
+  targetsSaidLeaving: 7,
+  resting: [{ service: 'verdict-api', target: 'i-1', milliseconds: 2_300 }],
 };
 
 describe('metricsText', () => {
@@ -32,6 +36,10 @@
         'ferrylock_targets_ended_total 2',
         'ferrylock_suspect_requests 1',
         'ferrylock_unreadable_records_total 4',
+        'ferrylock_rests_total 5',
+        'ferrylock_unwanted_sends_total 6',
+        'ferrylock_targets_said_leaving_total 7',
+        'ferrylock_target_rest_seconds{service="verdict-api",target="i-1"} 2.3',
       ]),
     );
   });
--- a/packages/entry/tests/request/request-progress.test.ts
+++ b/packages/entry/tests/request/request-progress.test.ts
@@ -11,6 +11,8 @@
   isSigned: true,
   load: undefined,
   coldMilliseconds: undefined,
+  isLeaving: false,
+  restMilliseconds: undefined,
 };
 
 function answered(status: number): SendVerdict {
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -64,6 +64,7 @@
 export { compareStarts, idOfStart, startName } from './target-start.js';
 export type { TargetStart } from './target-start.js';
 export { TargetState } from './target-state.js';
+export { TargetWord } from './target-word.js';
 export { ColdGate } from './cold-gate.js';
 export type { ColdDemand } from './cold-gate.js';
 export {
--- a/packages/routing/src/target-state.ts
+++ b/packages/routing/src/target-state.ts
@@ -3,6 +3,7 @@
 import { NOTHING_LEFT_OUT } from './mechanisms.js';
 import type { TargetRecord } from './target-record.js';
 import { startName } from './target-start.js';
+import { TargetWord } from './target-word.js';
 
 /** How long a load that the target itself told is taken as a lower bound of the present one. */
 const LOAD_REPORT_LIFE_MILLISECONDS = 150;
@@ -30,6 +31,8 @@
   readonly othersInFlight = new Map<string, number>();
   /** The target itself or its record says that it wants no new work. */
   leaving = false;
+  /** What this start of it has said of itself in its answers. */
+  readonly word = new TargetWord();
   /** When it last gave a usable answer. */
   answeredAt = -Infinity;
   /** When the target last worked on an object, by its key, the longest ago first. */
--- /dev/null
+++ b/packages/routing/src/target-word.ts
@@ -0,0 +1,49 @@
+/**
+ * Longest that a target is left alone at its word, in milliseconds; then it may be asked again, and says so again if it still wants
+ * nothing. What asks for longer (a year, a date in seconds) is a mistake at the target, which would lose it until its next start.
+ */
+const LONGEST_REST_MILLISECONDS = 3_600_000;
+
+/**
+ * What a start of a target has said of itself in its answers to this host. Nothing takes it back but time: neither a record that was
+ * written before, nor a later answer that says less.
+ */
+export class TargetWord {
+  #isLeaving = false;
+  #restsUntil = -Infinity;
+
+  /** Whether it said that it leaves. */
+  get isLeaving(): boolean {
+    return this.#isLeaving;
+  }
+
+  /** When it may be sent requests again, in monotonic milliseconds; in the past where it may now. */
+  get restsUntil(): number {
+    return this.#restsUntil;
+  }
+
+  /** Whether it asked this host for rest that is not over. */
+  isResting(now: number): boolean {
+    return now < this.#restsUntil;
+  }
+
+  /** @returns whether that is news */
+  recordLeaving(): boolean {
+    const isNews = !this.#isLeaving;
+    this.#isLeaving = true;
+    return isNews;
+  }
+
+  /**
+   * It wants no requests of this host. Asked again, the later end holds.
+   *
+   * @param milliseconds - not negative
+   * @returns whether it was not at rest until now
+   */
+  recordRest(milliseconds: number, now: number): boolean {
+    const isNews = !this.isResting(now);
+    const rest = Math.min(milliseconds, LONGEST_REST_MILLISECONDS);
+    this.#restsUntil = Math.max(this.#restsUntil, now + rest);
+    return isNews;
+  }
+}
--- a/packages/steering/src/targets/target.ts
+++ b/packages/steering/src/targets/target.ts
@@ -1,3 +1,4 @@
+import { TargetWord } from '@ferrylock/routing';
 import type { TargetDeclaration } from '@ferrylock/schema';
 import { MovingAverage } from '@ferrylock/utils';
 import type { Place } from '../lookup/distance-map.js';
@@ -22,6 +23,8 @@
   drained = false;
   /** Set by the target's own answer to a probe. */
   leaving = false;
+  /** What it has said of itself in its answers. */
+  readonly word = new TargetWord();
   /** Utilisation that the target reported last, 0 to 1; a hint among equals and nothing more. */
   reportedLoad: number | undefined;
   #failuresInARow = 0;
