test: targets that ask for rest, or say that they leave, get requests all the same (fails)

Reproduced without a network (emulated fleets of 10, 12 and 65 hosts, real decisions and the real reading of targets' words; targets' answers ask for 3 s of rest for 8 s, at six of twenty, at all, or towards one host of twelve), with two real processes and four targets, and at ferrylockd with real connections. On the code as it is: 17, 4, 5 and 30 requests in one rest, from half a second after the answer on (two are borne, none is the aim), 683 requests later than 2.5 s after a target's word that it leaves; 4 and 13 with real processes; ferrylockd sends 5 where one of them learns of the rest, and probes on. Passing already: a host that was not asked goes on, and a target whose rest is over is used again.

--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -42,5 +42,6 @@
 export type { CheckConnection, ConnectionCheck } from './suspects/check-connection.js';
 export type { FingerprintedRequest } from './suspects/request-fingerprint.js';
 export { requestFingerprint } from './suspects/request-fingerprint.js';
+export { TargetWords } from './request/target-words.js';
 export { SuspectDuty } from './suspects/suspect-duty.js';
 export { WITHOUT_SCHEMAS } from './servers/without-schemas.js';
--- a/packages/test-utils/src/target-stand-in.ts
+++ b/packages/test-utils/src/target-stand-in.ts
@@ -34,6 +34,10 @@
   /** Whether its answers and probes say that it is about to stop. */
   leaving = false;
   reportedLoad: number | undefined;
+  /** What it says with each request that it sheds: seconds in which it wants no more. */
+  rest: string | undefined;
+  /** Probes that arrived. */
+  probes = 0;
   /** Requests that arrived, whatever was done with them, apart from probes. */
   timesMet = 0;
   /** Requests begun, apart from probes. */
@@ -103,6 +107,7 @@
       response.setHeader('ferrylock-leaving', '1');
     }
     if (request.url === '/health') {
+      this.probes++;
       response.writeHead(this.behaviour === 'unavailable' ? 503 : 200).end();
       return;
     }
@@ -113,7 +118,10 @@
     }
     if (this.behaviour === 'shed') {
       request.resume();
-      response.writeHead(503, { 'ferrylock-shed': 'not-run', 'content-length': '0' }).end();
+      const rest = this.rest === undefined ? {} : { 'retry-after': this.rest };
+      response
+        .writeHead(503, { 'ferrylock-shed': 'not-run', 'content-length': '0', ...rest })
+        .end();
       return;
     }
     this.#begin(request);
