--- a/packages/experiment/src/caller-requests.ts
+++ b/packages/experiment/src/caller-requests.ts
@@ -103,10 +103,12 @@
       this.#end(asked, undefined);
     });
     this.#options.time.after(way, () => {
-      if (target?.take(work) !== true) {
+      const rest = target?.restFor(host.name);
+      if (rest !== undefined || target?.take(work) !== true) {
         this.#options.time.after(way, () => {
           cancelTimeout();
           state.inFlight--;
+          state.word.recordRest(rest ?? 0, this.#options.time.now());
           this.#takeRefusal(asked, host, state, tried);
         });
       }
--- a/packages/experiment/src/disruptions.ts
+++ b/packages/experiment/src/disruptions.ts
@@ -60,6 +60,16 @@
         return this.#harm(this.#struck(event), { slowFactor: event.factor, refusedShare: 0 });
       case 'shedding':
         return this.#harm(this.#struck(event), { slowFactor: 1, refusedShare: event.factor });
+      case 'resting':
+        return this.#harm(this.#struck(event), {
+          slowFactor: 1,
+          refusedShare: 0,
+          rest: {
+            fromLoadPerSlot: event.factor,
+            milliseconds: event.restMilliseconds,
+            host: event.host,
+          },
+        });
     }
   }
 
--- a/packages/experiment/src/emulated-target.ts
+++ b/packages/experiment/src/emulated-target.ts
@@ -9,10 +9,21 @@
   readonly onEnd: (wasKnown: boolean) => void;
 }
 
+/** A target that refuses by its load, and asks for rest. */
+export interface RestRule {
+  /** Requests for each slot from which it refuses. */
+  readonly fromLoadPerSlot: number;
+  /** How long it wants nothing from the host that it refused. */
+  readonly milliseconds: number;
+  /** The one host that it refuses; all where none is named. */
+  readonly host: string | undefined;
+}
+
 /** What is wrong with a target, as a factor on its time of work and a part that it refuses. */
 export interface TargetFault {
   readonly slowFactor: number;
   readonly refusedShare: number;
+  readonly rest?: RestRule;
 }
 
 const NO_FAULT: TargetFault = { slowFactor: 1, refusedShare: 0 };
@@ -65,6 +76,14 @@
     this.fault = NO_FAULT;
   }
 
+  /** For how long it wants nothing from a host that it refuses now; undefined where it asks for nothing. */
+  restFor(host: string): number | undefined {
+    const { rest } = this.fault;
+    const isMeant = rest !== undefined && (rest.host ?? host) === host && !this.isGone;
+    const isReached = isMeant && this.load >= rest.fromLoadPerSlot * this.options.slots;
+    return isReached ? rest.milliseconds : undefined;
+  }
+
   /** Takes a request on, or refuses it with false. */
   take(work: TargetWork): boolean {
     const { slots, queuePerSlot, draw } = this.options;
--- a/packages/experiment/src/scenario.ts
+++ b/packages/experiment/src/scenario.ts
@@ -66,15 +66,31 @@
 
 /** What happens to a deployment; `region` narrows it to targets there, `service` to that service. */
 const eventSchema = z.strictObject({
-  kind: z.enum(['burst', 'cold-return', 'slow', 'shedding', 'lost', 'evacuation', 'host-restart']),
+  kind: z.enum([
+    'burst',
+    'cold-return',
+    'slow',
+    'shedding',
+    'resting',
+    'lost',
+    'evacuation',
+    'host-restart',
+  ]),
   atSeconds: numberField(0, 3_600),
   forSeconds: numberField(0, 3_600).default(4),
   region: z.string().optional(),
   service: z.string().optional(),
   /** Part of the targets, or hosts, that it strikes. */
   share: share.default(1),
-  /** How many times as much or as slow; for `shedding`, the part that is refused. */
+  /**
+   * How many times as much or as slow; for `shedding`, the part that is refused; for `resting`, the requests for each slot from
+   * which a target refuses.
+   */
   factor: numberField(0, 1_000).default(2),
+  /** For `resting`: how long a target wants nothing from a host that it refused. */
+  restMilliseconds: milliseconds.default(3_000),
+  /** For `resting`: the one host that is refused; all where none is named. */
+  host: z.string().optional(),
 });
 
 /** A deployment, its callers, and what happens to it. */
--- a/packages/experiment/tests/emulated-target.test.ts
+++ b/packages/experiment/tests/emulated-target.test.ts
@@ -45,6 +45,19 @@
     ]);
   });
 
+  it('asks for rest from a load on, and only the host that it means', () => {
+    const rest = { fromLoadPerSlot: 1, milliseconds: 3_000, host: 'host-4' };
+    target.fault = { slowFactor: 1, refusedShare: 0, rest };
+    expect(target.restFor('host-4')).toBeUndefined();
+    target.take(work('a'));
+    expect(target.restFor('host-4')).toBe(3_000);
+    expect(target.restFor('host-5')).toBeUndefined();
+    target.fault = { ...target.fault, rest: { ...rest, host: undefined } };
+    expect(target.restFor('host-5')).toBe(3_000);
+    target.repair();
+    expect(target.restFor('host-4')).toBeUndefined();
+  });
+
   it('forgets the object that was used longest ago', () => {
     for (const key of ['a', 'b', 'a', 'c', 'b']) {
       target.take(work(key));
--- a/packages/test-utils/src/entry-fleet.ts
+++ b/packages/test-utils/src/entry-fleet.ts
@@ -1,6 +1,12 @@
 import { deltaResultSchema, EventLog, FleetMember } from '@ferrylock/entry';
 import type { EntryHostRecord, EntryHostSettings, PeerCalls } from '@ferrylock/entry';
-import type { ClientAccount, Route, RouteConfiguration, TargetState } from '@ferrylock/routing';
+import type {
+  ClientAccount,
+  LeftOut,
+  Route,
+  RouteConfiguration,
+  TargetState,
+} from '@ferrylock/routing';
 import { NOTHING_LEFT_OUT } from '@ferrylock/routing';
 import type { Clock, Random } from '@ferrylock/utils';
 import { randomIndex, SeededRandom, silentLogger } from '@ferrylock/utils';
@@ -30,6 +36,8 @@
   readonly seed: number;
   /** Client accounts, where callers need one. */
   readonly accounts?: readonly ClientAccount[];
+  /** Decisions that hosts do without, to compare with. */
+  readonly leftOut?: LeftOut;
 }
 
 /** What the hosts have sent so far. */
@@ -283,7 +291,7 @@
       shiftBound: { share: 0.15, windowMilliseconds: 2_000 },
       quotaBound: { windowMilliseconds: 5_000, overage: 0.1, slack: 20 },
       isFirstStart: true,
-      leftOut: NOTHING_LEFT_OUT,
+      leftOut: this.#options.leftOut ?? NOTHING_LEFT_OUT,
       longestDirectoryLifetimeMilliseconds: 5_000,
     };
   }
--- a/packages/test-utils/src/index.ts
+++ b/packages/test-utils/src/index.ts
@@ -29,7 +29,13 @@
   makeTargetRecord,
 } from './routes-and-targets.js';
 export { RestFleet } from './rest-fleet.js';
-export type { FleetArrival, RestFleetOptions, TargetConduct, TargetReply } from './rest-fleet.js';
+export type {
+  FleetArrival,
+  RestFleetOptions,
+  RestOfOthers,
+  TargetConduct,
+  TargetReply,
+} from './rest-fleet.js';
 export { PausableClock, ProcessPause } from './process-pause.js';
 export { QuotaFleet } from './quotas/quota-fleet.js';
 export type { QuotaFleetOptions } from './quotas/quota-fleet.js';
--- a/packages/test-utils/src/rest-fleet.ts
+++ b/packages/test-utils/src/rest-fleet.ts
@@ -1,5 +1,5 @@
 import { EventLog, TargetWords } from '@ferrylock/entry';
-import type { Route, ServiceTargets, TargetState } from '@ferrylock/routing';
+import type { LeftOut, Route, ServiceTargets, TargetState } from '@ferrylock/routing';
 import type { Clock, Random } from '@ferrylock/utils';
 import { randomIndex, SeededRandom, silentLogger } from '@ferrylock/utils';
 import type { EntryFleetHost } from './entry-fleet.js';
@@ -14,6 +14,10 @@
 /** Requests for each slot above which a target turns away of itself, and for how long it then wants no more. */
 const FULL_PER_SLOT = 3;
 
+/** From a host's being asked for rest to the others' knowing, and how often a hint is renewed there. */
+const TOLD_AFTER_MILLISECONDS = 150;
+const HINT_MILLISECONDS = 90;
+
 /** What a target does with a request. */
 export interface TargetReply {
   /** It turns the request away and wants none from this host for so long; 0 asks for nothing. */
@@ -36,6 +40,12 @@
 /** Decides how a target replies; `undefined` leaves it to the target's load. */
 export type TargetConduct = (arrival: Omit<FleetArrival, 'reply'>) => TargetReply | undefined;
 
+/**
+ * What a host makes of a rest that another one was asked for. `hint`: it prefers other targets as long; `hint-from-two`: once
+ * two hosts were asked.
+ */
+export type RestOfOthers = 'nothing' | 'the-same' | 'hint' | 'hint-from-two';
+
 /** How a request ended for its caller. */
 export type RestFleetAnswer = 'answered' | 'refused';
 
@@ -49,7 +59,11 @@
   /** From a host to a target, in milliseconds. */
   readonly wayMilliseconds?: number;
   /** What hosts make of a rest that another host was asked for: nothing, unless it is to be compared. */
-  readonly others?: 'nothing' | 'the-same';
+  readonly others?: RestOfOthers;
+  /** How a host comes back to a target whose rest is over: at once, unless it is to be compared. */
+  readonly comeBack?: 'at-once' | 'by-steps';
+  /** Decisions that hosts do without, to compare with. */
+  readonly leftOut?: LeftOut;
 }
 
 /** One caller's request. */
@@ -82,6 +96,10 @@
   readonly #random: Random;
   readonly #words = new Map<string, TargetWords>();
   readonly #loads = new Map<string, EmulatedLoad>();
+  /** Hosts that each target asked for rest, with the end of it. */
+  readonly #asked = new Map<string, Map<string, number>>();
+  /** Requests that a host may have at a target that it comes back to, by host and target. */
+  readonly #steps = new Map<string, number>();
 
   constructor(options: RestFleetOptions) {
     this.#options = options;
@@ -202,13 +220,28 @@
     return service.choose({
       route,
       key,
-      tried,
+      tried: this.#withHeldBack(record.name, service, tried),
       leastUrgent: 2,
       ownName: record.name,
       coldSenders: member.hostNames,
     });
   }
 
+  /** Adds targets that the host comes back to and that have as many of its requests as they may. */
+  #withHeldBack(
+    host: string,
+    { targets }: ServiceTargets,
+    tried: ReadonlySet<string>,
+  ): ReadonlySet<string> {
+    if (this.#options.comeBack !== 'by-steps' || this.#steps.size === 0) {
+      return tried;
+    }
+    const isHeldBack = ({ id, inFlight }: TargetState): boolean =>
+      inFlight >= (this.#steps.get(`${host} ${id}`) ?? Infinity);
+    const heldBack = [...targets.values()].filter(isHeldBack).map(({ id }) => id);
+    return new Set([...tried, ...heldBack]);
+  }
+
   /** @returns whether the target ran it */
   async #send(
     asked: Asked,
@@ -236,10 +269,12 @@
     });
     if (isTurnedAway) {
       target.recordShed(clock.now());
+      this.#steps.set(`${host.record.name} ${target.id}`, 1);
       this.#tellOthers(host, target, reply.restMilliseconds);
       return false;
     }
     target.recordLoad(load ?? 0, clock.now());
+    this.#takeStep(host, target);
     service.recordAnswer(target, { route, key, milliseconds: clock.now() - sentAt, loadPerSlot });
     return true;
   }
@@ -265,13 +300,52 @@
     return load.running + load.waiting.length;
   }
 
-  #tellOthers(host: EntryFleetHost, target: TargetState, milliseconds = 0): void {
-    if (this.#options.others !== 'the-same' || milliseconds === 0) {
+  /** Each answer lets twice as many go there, until that is no limit any more. */
+  #takeStep({ record }: EntryFleetHost, target: TargetState): void {
+    const pair = `${record.name} ${target.id}`;
+    const step = this.#steps.get(pair);
+    if (step !== undefined && 2 * step >= target.record.slots) {
+      this.#steps.delete(pair);
+    } else if (step !== undefined) {
+      this.#steps.set(pair, 2 * step);
+    }
+  }
+
+  #tellOthers(host: EntryFleetHost, { id }: TargetState, milliseconds = 0): void {
+    const { clock, others = 'nothing' } = this.#options;
+    const until = clock.now() + milliseconds;
+    const asked = this.#asked.get(id) ?? new Map<string, number>();
+    this.#asked.set(id, asked.set(host.record.name, until));
+    const askedNow = [...asked.values()].filter((end) => end > clock.now()).length;
+    if (
+      milliseconds === 0 ||
+      others === 'nothing' ||
+      (others === 'hint-from-two' && askedNow < 2)
+    ) {
+      return;
+    }
+    clock.after(TOLD_AFTER_MILLISECONDS, () => {
+      for (const other of this.fleet.hosts.filter((entry) => entry !== host)) {
+        this.#hear(other, id, until);
+      }
+    });
+  }
+
+  /** A host hears that another one was asked for rest. */
+  #hear(host: EntryFleetHost, id: string, until: number): void {
+    const { clock, others } = this.#options;
+    const now = clock.now();
+    const target = this.#service(host)?.targets.get(id);
+    if (now >= until) {
       return;
     }
-    const now = this.#options.clock.now();
-    for (const other of this.fleet.hosts.filter((entry) => entry !== host)) {
-      this.#service(other)?.targets.get(target.id)?.word.recordRest(milliseconds, now);
+    if (others === 'the-same') {
+      target?.word.recordRest(until - now, now);
+    } else {
+      target?.recordShed(now);
+      clock.after(HINT_MILLISECONDS, () => {
+        this.#hear(host, id, until);
+      });
     }
   }
 
