test: a target's word is missed where its caller leaves before it comes (fails)

Sends of callers that leave are cut off at once, so that a far target's refusal, 75 ms and more on its way, is never read; with callers that wait for 200 ms that is each second try from a far region.

--- /dev/null
+++ b/packages/entry/tests/request/target-send.test.ts
@@ -0,0 +1,172 @@
+import type { IncomingHttpHeaders } from 'node:http';
+import { NOTHING_LEFT_OUT, OverflowAllowance, ServiceTargets } from '@ferrylock/routing';
+import type { TargetState } from '@ferrylock/routing';
+import { FakeClock, makeRoute, makeTargetRecord } from '@ferrylock/test-utils';
+import { silentLogger } from '@ferrylock/utils';
+import { describe, expect, it } from 'vitest';
+import { EventLog, TargetWords } from '../../src/index.js';
+import type { AnswerFacts, HeaderDialect } from '../../src/index.js';
+import type { RoutedExchange } from '../../src/request/caller-exchange.js';
+import type { Send, SendOutcome, TargetRequest } from '../../src/request/target-client.js';
+import { SendCancelled } from '../../src/request/target-client.js';
+import { TargetSend } from '../../src/request/target-send.js';
+import type { TargetSendOptions } from '../../src/request/target-send.js';
+
+/**
+ * Callers that leave before a far target's answer is there. The pattern is hosts whose way to half of the targets and back
+ * takes 75 ms, and callers that wait for half of an aim of 400 ms: of a request that was turned away elsewhere first, none
+ * hears the second answer.
+ */
+const WAY_AND_BACK_MILLISECONDS = 75;
+const REST_MILLISECONDS = 3_000;
+
+const FACTS: AnswerFacts = {
+  requestId: 'request-1',
+  isNotRun: false,
+  isOtherTarget: false,
+  isSigned: true,
+  load: undefined,
+  coldMilliseconds: undefined,
+  isLeaving: false,
+  restMilliseconds: undefined,
+};
+
+const dialect = {
+  callerHeaders: new Set<string>(),
+  instruct: () => ({}),
+  readAnswer: (status: number) =>
+    status === 503 ? { ...FACTS, isNotRun: true, restMilliseconds: REST_MILLISECONDS } : FACTS,
+} satisfies Partial<HeaderDialect>;
+
+/** A send whose course the test decides. */
+class EmulatedSend implements Send {
+  readonly outcome: Promise<SendOutcome>;
+  cancelledAt: number | undefined;
+  startedAt: number | undefined;
+  #settle: (outcome: SendOutcome) => void = () => undefined;
+
+  constructor(
+    readonly request: TargetRequest,
+    readonly clock: FakeClock,
+  ) {
+    this.outcome = new Promise((resolve) => {
+      this.#settle = resolve;
+    });
+  }
+
+  start(): void {
+    this.startedAt = this.clock.now();
+  }
+
+  cancel(): void {
+    this.cancelledAt ??= this.clock.now();
+    const kind = this.startedAt === undefined ? 'not-sent' : 'broken';
+    this.#settle({ kind, error: new SendCancelled('given up') });
+  }
+
+  turnAway(): void {
+    const headers: IncomingHttpHeaders = {};
+    this.request.examine(503, headers);
+    this.#settle({
+      kind: 'answered',
+      answer: { status: 503, headers, body: Buffer.alloc(0), isDelimited: true },
+    });
+  }
+}
+
+function setUp() {
+  const clock = new FakeClock();
+  const bound = { share: 0.15, windowMilliseconds: 2_000 };
+  const service = new ServiceTargets('verdict-api', {
+    clock,
+    overflows: new OverflowAllowance({ clock, bound, ownName: 'host-1' }),
+    retryBound: { ratio: 0.2, slack: 10, windowMilliseconds: 10_000 },
+    regionOf: (failureDomain) => failureDomain,
+    ownRegion: 'jylland',
+    isEvacuated: () => false,
+    shiftBound: bound,
+    leftOut: NOTHING_LEFT_OUT,
+  });
+  const record = makeTargetRecord();
+  service.put(record);
+  service.roundTrips.record(record.failureDomain, WAY_AND_BACK_MILLISECONDS);
+  const target = service.targets.get(record.id) as TargetState;
+  const sends: EmulatedSend[] = [];
+  const events = new EventLog(silentLogger);
+  const exchange = {
+    request: { method: 'GET', headers: {} },
+    path: '/verdicts/1',
+    requestId: 'request-1',
+    demand: {},
+    route: makeRoute(),
+    endAt: 2_500,
+  };
+  const options = {
+    clock,
+    events,
+    client: {
+      send: (request: TargetRequest) => {
+        const send = new EmulatedSend(request, clock);
+        sends.push(send);
+        return send;
+      },
+    },
+    words: new TargetWords({ clock, events }),
+    dialect,
+    service,
+    target,
+    exchange: exchange as unknown as RoutedExchange,
+  };
+  const send = new TargetSend(options as unknown as TargetSendOptions);
+  const [emulated] = sends;
+  if (emulated === undefined) {
+    throw new Error('expected a send');
+  }
+  return { clock, target, send, emulated };
+}
+
+describe('a send whose caller leaves', () => {
+  it('is heard out for as long as the way takes, so that a rest is not missed', async () => {
+    const { clock, target, send, emulated } = setUp();
+    emulated.start();
+    await clock.advance(50);
+    send.end('caller-gone');
+    expect(emulated.cancelledAt).toBeUndefined();
+    await clock.advance(25);
+    emulated.turnAway();
+    await clock.advance(0);
+    expect(target.isResting(clock.now())).toBe(true);
+    expect(target.inFlight).toBe(0);
+  });
+
+  it('ends at its target once a refusal would have come, well within half a second', async () => {
+    const { clock, send, emulated } = setUp();
+    emulated.start();
+    await clock.advance(10);
+    send.end('caller-gone');
+    await clock.advance(1_000);
+    expect(emulated.cancelledAt).toBeGreaterThanOrEqual(WAY_AND_BACK_MILLISECONDS);
+    expect(emulated.cancelledAt).toBeLessThanOrEqual(300);
+    expect(await send.verdict).toMatchObject({ kind: 'ended', cause: 'caller-gone' });
+  });
+
+  it('ends at once where that time is over, or nothing has left', async () => {
+    const late = setUp();
+    late.emulated.start();
+    await late.clock.advance(400);
+    late.send.end('caller-gone');
+    expect(late.emulated.cancelledAt).toBe(400);
+    const unsent = setUp();
+    unsent.send.end('caller-gone');
+    expect(unsent.emulated.cancelledAt).toBe(0);
+  });
+
+  it('ends at once where its time is over: its caller waits for an answer', async () => {
+    const { clock, send, emulated } = setUp();
+    emulated.start();
+    await clock.advance(10);
+    send.end('deadline');
+    expect(emulated.cancelledAt).toBe(10);
+    await clock.advance(0);
+  });
+});
