fix: a send whose caller leaves is heard out for as long as its target's refusal takes

Cause: the send was cut off at once. Its target had answered 503 with the time in which it wants nothing, and the host never read it; with callers that leave after 200 ms, and a way of 75 ms there and back, second tries from a far region were never heard. Not ruled out: packets lost on the way, an answer of another request in its place. Change: where its first byte has left, such a send goes on until one way there and back and 40 ms have passed since, 200 ms at most; one that has not left ends at once, and one whose time is over too. Targets stop within half a second as before.

--- a/packages/entry/src/request/target-client.ts
+++ b/packages/entry/src/request/target-client.ts
@@ -61,6 +61,8 @@
 /** A send under way. */
 export interface Send {
   readonly outcome: Promise<SendOutcome>;
+  /** When its first byte left; undefined before. */
+  readonly startedAt: number | undefined;
   /** Ends it; the target sees its connection close. */
   cancel(): void;
 }
@@ -102,13 +104,13 @@
   send(request: TargetRequest): Send {
     let abort: ((error: Error) => void) | undefined;
     let isCancelled = false;
+    let startedAt: number | undefined;
     let settle: (outcome: SendOutcome) => void = () => undefined;
     const outcome = new Promise<SendOutcome>((resolve) => {
       settle = resolve;
       const chunks: Buffer[] = [];
       let status = 0;
       let headers: IncomingHttpHeaders = {};
-      let isStarted = false;
       const { address, method, path, body, isAlone } = request;
       (isAlone ? this.#loneAgent : this.#agent).dispatch(
         {
@@ -121,7 +123,7 @@
         },
         {
           onRequestStart: (controller) => {
-            if (isCancelled || isStarted) {
+            if (isCancelled || startedAt !== undefined) {
               // Never sent a second time by the transport, and not at all once it was given up.
               controller.abort(new SendCancelled('ended before it was sent'));
               return;
@@ -131,7 +133,7 @@
               controller.abort(new SendUnwanted('the target asked for rest meanwhile'));
               return;
             }
-            isStarted = true;
+            startedAt = this.#options.clock.now();
             abort = (error) => {
               controller.abort(error);
             };
@@ -160,7 +162,7 @@
             resolve({ kind: 'answered', answer });
           },
           onResponseError: (_controller, error) => {
-            resolve({ kind: isStarted ? 'broken' : 'not-sent', error });
+            resolve({ kind: startedAt === undefined ? 'not-sent' : 'broken', error });
           },
         },
       );
@@ -174,7 +176,13 @@
         abort(error);
       }
     };
-    return { outcome, cancel };
+    return {
+      outcome,
+      cancel,
+      get startedAt() {
+        return startedAt;
+      },
+    };
   }
 
   /**
--- a/packages/entry/src/request/target-send.ts
+++ b/packages/entry/src/request/target-send.ts
@@ -29,6 +29,11 @@
 /** Why a send is ended from this side. */
 export type EndCause = 'deadline' | 'caller-gone';
 
+/** What a target that refuses takes for it, beside the way there and back. */
+const REFUSAL_MILLISECONDS = 40;
+/** Longest that a send without a caller goes on: targets are to stop within half a second of the caller's leaving. */
+const MOST_HEARING_OUT_MILLISECONDS = 200;
+
 /** The answer to some other request. */
 class StrayAnswer extends Error {}
 /** A success that the target did not sign. */
@@ -66,6 +71,7 @@
   readonly #loadPerSlot: number;
   #endedBy: EndCause | undefined;
   #facts: AnswerFacts | undefined;
+  #cancelHearingOut: (() => void) | undefined;
 
   constructor(options: TargetSendOptions) {
     this.#options = options;
@@ -90,7 +96,28 @@
   /** Ends it from this side. */
   end(cause: EndCause): void {
     this.#endedBy ??= cause;
-    this.#send.cancel();
+    const wait = cause === 'caller-gone' ? this.#hearingOutMilliseconds() : 0;
+    if (wait <= 0) {
+      this.#send.cancel();
+      return;
+    }
+    this.#cancelHearingOut ??= this.#options.clock.after(wait, () => {
+      this.#send.cancel();
+    });
+  }
+
+  /**
+   * How much longer a send whose caller has left goes on, so that a refusal which is on its way is read: a target that asked
+   * for rest is not asked again and again by callers that leave sooner than a far target's answer takes.
+   */
+  #hearingOutMilliseconds(): number {
+    const { clock, service, target } = this.#options;
+    const { startedAt } = this.#send;
+    if (startedAt === undefined) {
+      return 0;
+    }
+    const way = service.roundTrips.of(target.record.failureDomain) + REFUSAL_MILLISECONDS;
+    return startedAt + Math.min(MOST_HEARING_OUT_MILLISECONDS, way) - clock.now();
   }
 
   #headers(): Record<string, string | string[]> {
@@ -124,6 +151,7 @@
   async #judge(): Promise<SendVerdict> {
     const { clock, exchange, target, service } = this.#options;
     const outcome = await this.#send.outcome;
+    this.#cancelHearingOut?.();
     target.inFlight--;
     const now = clock.now();
     if (outcome.kind !== 'answered') {
--- a/packages/entry/tests/request/target-send.test.ts
+++ b/packages/entry/tests/request/target-send.test.ts
@@ -90,7 +90,7 @@
   const record = makeTargetRecord();
   service.put(record);
   service.roundTrips.record(record.failureDomain, WAY_AND_BACK_MILLISECONDS);
-  const target = service.targets.get(record.id) as TargetState;
+  const target = service.targets.get(record.id)!;
   const sends: EmulatedSend[] = [];
   const events = new EventLog(silentLogger);
   const exchange = {
