fix: what a start said outlives its record also where targets do not tell when they began

Cause: the word of a start that records no birth was dropped with its record, though its id names the start; a target whose record the store lost for a moment was asked again. Tests: the case for both kinds of record, of which the second failed before.

--- a/packages/entry/tests/request/target-send.test.ts
+++ b/packages/entry/tests/request/target-send.test.ts
@@ -1,6 +1,5 @@
 import type { IncomingHttpHeaders } from 'node:http';
 import { NOTHING_LEFT_OUT, OverflowAllowance, ServiceTargets } from '@ferrylock/routing';
-import type { TargetState } from '@ferrylock/routing';
 import { FakeClock, makeRoute, makeTargetRecord } from '@ferrylock/test-utils';
 import { silentLogger } from '@ferrylock/utils';
 import { describe, expect, it } from 'vitest';
@@ -90,7 +89,10 @@
   const record = makeTargetRecord();
   service.put(record);
   service.roundTrips.record(record.failureDomain, WAY_AND_BACK_MILLISECONDS);
-  const target = service.targets.get(record.id)!;
+  const target = service.targets.get(record.id);
+  if (target === undefined) {
+    throw new Error('expected a target');
+  }
   const sends: EmulatedSend[] = [];
   const events = new EventLog(silentLogger);
   const exchange = {
--- a/packages/routing/src/former-words.ts
+++ b/packages/routing/src/former-words.ts
@@ -8,15 +8,15 @@
 
 /**
  * What starts of targets said of themselves whose record has gone. A record goes and comes back while its target lives:
- * the store lost it, or a host learned of it late. Such a target still leaves, or rests. One that does not tell when it
- * began cannot be told from its next start, and what it said is forgotten.
+ * the store lost it, or a host learned of it late. Such a target still leaves, or rests. Where targets do not tell when they
+ * began, the id names the start.
  */
 export class FormerWords {
   readonly #kept = new Map<string, TargetWord>();
 
   /** Its record has gone. */
-  keep({ record, start, word }: TargetState, now: number): void {
-    if (record.bornAt === undefined || !(word.isLeaving || word.isResting(now))) {
+  keep({ start, word }: TargetState, now: number): void {
+    if (!word.isLeaving && !word.isResting(now)) {
       return;
     }
     this.#kept.delete(start);
--- a/packages/routing/tests/resting-targets.test.ts
+++ b/packages/routing/tests/resting-targets.test.ts
@@ -129,16 +129,19 @@
 });
 
 describe('the word of a start', () => {
-  it('holds where its record goes and comes back', () => {
+  it.each([
+    ['tells when it began', BORN],
+    ['does not tell when it began', undefined],
+  ])('holds where the record of a target that %s goes and comes back', (_case, bornAt) => {
     const { service } = makeService();
-    put(service, 'a');
-    put(service, 'b');
+    put(service, 'a', { bornAt });
+    put(service, 'b', { bornAt });
     rest(service, 'a');
     service.targets.get('b')?.word.recordLeaving();
     service.remove('a');
     service.remove('b');
-    put(service, 'a');
-    put(service, 'b');
+    put(service, 'a', { bornAt });
+    put(service, 'b', { bornAt });
     expect(reached(service)).toEqual(new Set([undefined]));
   });
 
