feat: a request that is refused for rests names the targets, and explain shows what each of them asked for

Cause: the line of such a refusal did not lead to the rest that caused it, and lines of rests fell under the bound of request lines. Change: 'refused' names the first few targets whose rest ends; explain tells what the host last said of them; rests of half a second and more have a line that is not left out, two a second for a target at most.

--- a/packages/cli/src/explain/explain-request.ts
+++ b/packages/cli/src/explain/explain-request.ts
@@ -52,13 +52,20 @@
   if (ofHost === undefined) {
     return [];
   }
-  const told = [...ofHost].filter(([key]) => BELIEF_EVENTS.has(key) || key === line.target);
+  const concerned = targetsOf(line);
+  const told = [...ofHost].filter(([key]) => BELIEF_EVENTS.has(key) || concerned.has(key));
   for (const [key] of told) {
     ofHost.delete(key);
   }
   return told.map(([, belief]) => `  believes since ${show(belief)}`);
 }
 
+/** The target that a line is about, or those whose rest is why a request was refused. */
+function targetsOf({ target, resting }: LogLine): ReadonlySet<unknown> {
+  const resters: readonly unknown[] = Array.isArray(resting) ? resting : [];
+  return new Set([target, ...resters]);
+}
+
 function show(line: LogLine): string {
   const fields = Object.entries(line)
     .filter(([name]) => !FRAME_FIELDS.has(name))
--- a/packages/cli/tests/explain/explain-request.test.ts
+++ b/packages/cli/tests/explain/explain-request.test.ts
@@ -36,6 +36,15 @@
     expect(story.some((line) => line.startsWith('  believes since'))).toBe(isShown);
   });
 
+  it('shows whose rest it was that a request was refused for', () => {
+    const resting = makeLine(7, 'target', { target: 't-1', state: 'resting', detail: '3000 ms' });
+    const other = makeLine(7, 'target', { target: 't-2', state: 'resting', detail: '3000 ms' });
+    const line = { ...refused, reason: 'targets-rest', resting: ['t-1'] };
+    const story = explainRequest('r-1', [line, resting, other]);
+    expect(story).toHaveLength(2);
+    expect(story[0]).toMatch(/^ {2}believes since .* target=t-1 state=resting/);
+  });
+
   it('forgets what a host believed before it was started again', () => {
     const lines = [makeLine(1, 'configuration', { version: 7 }), makeLine(2, 'started'), failed];
     expect(explainRequest('r-1', lines).join('\n')).not.toContain('version=7');
--- a/packages/entry/src/events.ts
+++ b/packages/entry/src/events.ts
@@ -159,6 +159,8 @@
     ran: z.enum(['no', 'unknown']),
     reason: z.string(),
     detail: z.string(),
+    /** Targets that asked for rest, where all that might take it did; the first few whose rest ends. */
+    resting: z.array(z.string()).optional(),
     attempts: z.number(),
     milliseconds: z.number(),
     beliefAgeMilliseconds: z.number(),
@@ -208,7 +210,7 @@
   'unreadable-answer',
 ]);
 /** States of targets that requests bring about; the others come from records, which are few. */
-const REQUEST_STATES: ReadonlySet<string> = new Set(['failing', 'distrusted', 'resting']);
+const REQUEST_STATES: ReadonlySet<string> = new Set(['failing', 'distrusted']);
 
 /** Whether lines like it come as often as requests do. */
 function isOfRequest(event: EntryEvent): boolean {
--- a/packages/entry/src/request/answer-writer.ts
+++ b/packages/entry/src/request/answer-writer.ts
@@ -108,6 +108,7 @@
       ran: refusal.ran,
       reason: refusal.reason,
       detail: refusal.detail,
+      ...(refusal.resting === undefined ? {} : { resting: [...refusal.resting] }),
       attempts,
       milliseconds: Math.round(milliseconds),
       beliefAgeMilliseconds: Math.round(clock.now() - view.confirmedAt),
--- a/packages/entry/src/request/own-refusals.ts
+++ b/packages/entry/src/request/own-refusals.ts
@@ -1,4 +1,4 @@
-import type { QuotaRefusal } from '@ferrylock/routing';
+import type { CommonRest, QuotaRefusal } from '@ferrylock/routing';
 import type { BodyFailure } from './body-reader.js';
 import type { Refusal } from './refusal.js';
 
@@ -16,6 +16,7 @@
 } as const;
 /** What a caller is told that came before the configuration did. */
 const NOT_READY_RETRY_SECONDS = 1;
+const MILLISECONDS_PER_SECOND = 1_000;
 
 /** Before the configuration is known. */
 export function notReady(): Refusal {
@@ -35,15 +36,16 @@
   return { reason: 'bad-request', detail, ran: 'no' };
 }
 
-/**
- * All targets that might take it rest, the first of them for so much longer. A request that some of them turned away
- * before keeps that as its reason.
- */
-export function allRest(refusal: Refusal, seconds: number): Refusal {
-  const when = { retryAfterSeconds: seconds, isEarliest: true };
+/** All targets that might take it rest. A request that some of them turned away before keeps that as its reason. */
+export function allRest(refusal: Refusal, { milliseconds, targets }: CommonRest): Refusal {
+  const rest = {
+    retryAfterSeconds: milliseconds / MILLISECONDS_PER_SECOND,
+    isEarliest: true,
+    resting: targets,
+  };
   return refusal.reason === 'overload'
-    ? { reason: 'targets-rest', detail: 'all targets asked for rest', ran: 'no', ...when }
-    : { ...refusal, ...when };
+    ? { reason: 'targets-rest', detail: 'all targets asked for rest', ran: 'no', ...rest }
+    : { ...refusal, ...rest };
 }
 
 /** The body did not come whole. */
--- a/packages/entry/src/request/refusal.ts
+++ b/packages/entry/src/request/refusal.ts
@@ -37,6 +37,8 @@
   readonly retryAfterSeconds?: number;
   /** Whether asking before that time is of no use, so that callers are spread after it. */
   readonly isEarliest?: boolean;
+  /** Targets that rest, where that is why; the first few whose rest ends. */
+  readonly resting?: readonly string[];
 }
 
 /** The status to answer with; one that promises that nothing ran is given only where that is so. */
--- a/packages/entry/src/request/request-forwarder.ts
+++ b/packages/entry/src/request/request-forwarder.ts
@@ -277,9 +277,9 @@
     const leastUrgent = this.#options.state.active?.leastUrgent ?? route.priority;
     const clearing = service.clearingMilliseconds(route, leastUrgent);
     const isForRoom = FOR_ROOM.has(refusal.reason);
-    const rest = isForRoom ? service.restMilliseconds(route) : undefined;
+    const rest = isForRoom ? service.commonRest(route) : undefined;
     if (rest !== undefined) {
-      return allRest(refusal, rest / MILLISECONDS_PER_SECOND);
+      return allRest(refusal, rest);
     }
     return isForRoom && clearing !== undefined
       ? { ...refusal, retryAfterSeconds: clearing / MILLISECONDS_PER_SECOND }
--- a/packages/entry/src/request/target-words.ts
+++ b/packages/entry/src/request/target-words.ts
@@ -6,6 +6,12 @@
 /** The service whose target speaks. */
 type NamedService = Pick<ServiceTargets, 'name'>;
 
+/**
+ * Shorter rests are counted and have no line, so that a target brings about two lines a second at most; these are not
+ * left out as other lines of requests are, since they say why requests are refused.
+ */
+const SHORTEST_LOGGED_MILLISECONDS = 500;
+
 /** What targets say of themselves in their answers. */
 export type SaidOfItself = Pick<AnswerFacts, 'isLeaving' | 'restMilliseconds'>;
 
@@ -58,8 +64,11 @@
       });
       return;
     }
-    if (target.word.recordRest(milliseconds, clock.now())) {
-      this.rests++;
+    if (!target.word.recordRest(milliseconds, clock.now())) {
+      return;
+    }
+    this.rests++;
+    if (milliseconds >= SHORTEST_LOGGED_MILLISECONDS) {
       this.#log(service, target, 'resting', `asked for ${milliseconds} ms of rest`);
     }
   }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -49,6 +49,7 @@
 export { RoundTrips } from './round-trips.js';
 export { ServiceTargets } from './service-targets.js';
 export type {
+  CommonRest,
   PutOutcome,
   SeekingRequest,
   ServiceTargetsOptions,
--- a/packages/routing/src/service-targets.ts
+++ b/packages/routing/src/service-targets.ts
@@ -25,6 +25,8 @@
 /** Weight of one answer in the average time of work: some two seconds of a host's requests. */
 const RUN_WEIGHT = 0.02;
 const MILLISECONDS_PER_SECOND = 1_000;
+/** Targets that a refused request's line names as the cause. */
+const MOST_NAMED = 4;
 
 export interface ServiceTargetsOptions {
   readonly clock: Clock;
@@ -66,6 +68,14 @@
 /** What a record brought: a target, another start of one, or news of a known start. */
 export type PutOutcome = 'added' | 'reborn' | 'updated';
 
+/** All targets that might take a request have asked this host for rest. */
+export interface CommonRest {
+  /** Until the first of them wants work. */
+  readonly milliseconds: number;
+  /** The first few whose rest ends. */
+  readonly targets: readonly string[];
+}
+
 /** One service's targets, how to choose among them, and what its requests may draw on. */
 export class ServiceTargets {
   readonly targets = new Map<string, TargetState>();
@@ -203,13 +213,13 @@
   }
 
   /**
-   * How long until one of the targets that may take a request of this route wants any, in milliseconds; undefined where
-   * one does now, or where there is none. The first that does not rest ends the look.
+   * Where all targets that may take a request of this route rest: for how long, and which end first. Undefined where one
+   * wants work, or there is none. The first that does not rest ends the look.
    */
-  restMilliseconds({ homeRegions }: Pick<Route, 'homeRegions'>): number | undefined {
+  commonRest({ homeRegions }: Pick<Route, 'homeRegions'>): CommonRest | undefined {
     const { clock, regionOf, isEvacuated, leftOut } = this.#options;
     const now = clock.now();
-    let least = Infinity;
+    const resting: TargetState[] = [];
     for (const target of this.targets.values()) {
       const { failureDomain } = target.record;
       const isHome = homeRegions.length === 0 || homeRegions.includes(regionOf(failureDomain));
@@ -219,9 +229,16 @@
       if (!target.isResting(now, leftOut)) {
         return undefined;
       }
-      least = Math.min(least, target.word.restsUntil - now);
+      resting.push(target);
     }
-    return least === Infinity ? undefined : least;
+    resting.sort((a, b) => a.word.restsUntil - b.word.restsUntil);
+    const [first] = resting;
+    return first === undefined
+      ? undefined
+      : {
+          milliseconds: first.word.restsUntil - now,
+          targets: resting.slice(0, MOST_NAMED).map(({ id }) => id),
+        };
   }
 
   /**
