--- a/packages/daemon/src/components.ts
+++ b/packages/daemon/src/components.ts
@@ -15,6 +15,7 @@
 import { checkConnection } from '@ferrylock/entry';
 import type { HostDirectory, KeyValueStore } from '@ferrylock/platform';
 import type { Clock, Logger, Random } from '@ferrylock/utils';
+import { restMetrics } from './metrics/rest-metrics.js';
 import { ServiceMetrics } from './metrics/service-metrics.js';
 import { KeyRegister } from './request/key-register.js';
 import { RequestPath } from './request/request-path.js';
@@ -58,7 +59,8 @@
   readonly keys: KeyRegister;
   readonly client: TargetClient;
   readonly requestPath: RequestPath;
-  readonly metrics: ServiceMetrics;
+  /** Figures in the Prometheus text format. */
+  readonly metricsText: () => string;
   readonly operatorCalls: OperatorCalls;
 }
 
@@ -170,7 +172,7 @@
     keys,
     client,
     requestPath,
-    metrics,
+    metricsText: () => metrics.prometheusText() + restMetrics({ clock, words, directory }),
     operatorCalls,
   };
 }
--- a/packages/daemon/src/rpc/control-server.ts
+++ b/packages/daemon/src/rpc/control-server.ts
@@ -13,7 +13,6 @@
 import type { FastifyInstance } from 'fastify';
 import { createJSONRPCErrorResponse, JSONRPCErrorException, JSONRPCServer } from 'json-rpc-2.0';
 import { joinAddress, splitAddress } from '../http/address.js';
-import type { ServiceMetrics } from '../metrics/service-metrics.js';
 import { PEER_PATH } from './http-peer-transport.js';
 import type { OperatorAuthenticator, OperatorIdentity } from './operator-authenticator.js';
 import type { OperatorCalls } from './operator-calls.js';
@@ -31,7 +30,7 @@
   readonly #options: ControlServerOptions;
   readonly #app: FastifyInstance;
   #calls: OperatorCalls | undefined;
-  #metrics: ServiceMetrics | undefined;
+  #metricsText: () => string = () => '';
   readonly #peerServer = new JSONRPCServer({ errorListener: () => undefined });
   readonly #operatorServer = new JSONRPCServer<OperatorIdentity>({
     errorListener: () => undefined,
@@ -54,9 +53,9 @@
   }
 
   /** Begins to take operators' calls. */
-  attach(components: { operatorCalls: OperatorCalls; metrics: ServiceMetrics }): void {
+  attach(components: { operatorCalls: OperatorCalls; metricsText: () => string }): void {
     this.#calls = components.operatorCalls;
-    this.#metrics = components.metrics;
+    this.#metricsText = components.metricsText;
   }
 
   async close(): Promise<void> {
@@ -130,9 +129,7 @@
         .send(JSON.stringify(answer));
     });
     this.#app.get('/metrics', (_request, reply) =>
-      reply
-        .header('content-type', 'text/plain; version=0.0.4')
-        .send(this.#metrics?.prometheusText() ?? ''),
+      reply.header('content-type', 'text/plain; version=0.0.4').send(this.#metricsText()),
     );
   }
 }
--- a/packages/daemon/tests/resting-targets.test.ts
+++ b/packages/daemon/tests/resting-targets.test.ts
@@ -46,6 +46,11 @@
     rest(resting);
     expect(await sendAll(running)).toEqual(new Array(CALLS).fill(200));
     expect(resting?.timesMet).toBe(1);
+    const { control } = running.daemon.addresses;
+    const text = await (await fetch(`http://${control}/metrics`)).text();
+    expect(text).toContain('ferrylock_rests_total 1\n');
+    expect(text).toContain('ferrylock_unwanted_sends_total 0\n');
+    expect(text).toMatch(/^ferrylock_target_rest_seconds\{.*target="t0"\} \d+/m);
   });
 
   it('comes back once its rest is over', async () => {
