--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -11,6 +11,7 @@
 import { proxy } from './benches/proxy.js';
 import { quotas } from './benches/quotas.js';
 import { suspectCost } from './benches/suspect-cost.js';
+import { restCost } from './benches/rest-cost.js';
 import { rests } from './benches/rests.js';
 import { suspects } from './benches/suspects.js';
 import { spread } from './benches/spread.js';
@@ -32,6 +33,7 @@
   quotas,
   spread,
   'suspect-cost': suspectCost,
+  'rest-cost': restCost,
   rests,
   suspects,
 };
--- a/packages/routing/src/target-word.ts
+++ b/packages/routing/src/target-word.ts
@@ -38,10 +38,10 @@
    * It wants no requests of this host. Asked again, the later end holds.
    *
    * @param milliseconds - not negative
-   * @returns whether it was not at rest until now
+   * @returns whether a rest begins
    */
   recordRest(milliseconds: number, now: number): boolean {
-    const isNews = !this.isResting(now);
+    const isNews = milliseconds > 0 && !this.isResting(now);
     const rest = Math.min(milliseconds, LONGEST_REST_MILLISECONDS);
     this.#restsUntil = Math.max(this.#restsUntil, now + rest);
     return isNews;
--- a/packages/routing/tests/target-word.test.ts
+++ b/packages/routing/tests/target-word.test.ts
@@ -21,6 +21,12 @@
     expect(word.recordRest(100, 4_000)).toBe(true);
   });
 
+  it('begins no rest that lasts no time', () => {
+    const word = new TargetWord();
+    expect(word.recordRest(0, 1_000)).toBe(false);
+    expect(word.isResting(1_000)).toBe(false);
+  });
+
   it('is asked again after an hour, however long a rest was asked for', () => {
     const word = new TargetWord();
     word.recordRest(Infinity, 0);
