--- a/packages/bench/src/benches/rests.ts
+++ b/packages/bench/src/benches/rests.ts
@@ -89,10 +89,10 @@
 }
 
 function describe(fleet: RestFleet) {
-  const turnedAway = fleet.arrivals.filter(({ reply }) => reply.restMilliseconds !== undefined);
+  const turnedAway = fleet.arrivals.all.filter(({ reply }) => reply.restMilliseconds !== undefined);
   const isInTime = (milliseconds: number): boolean => milliseconds <= AIM_MILLISECONDS;
   return {
-    mostInOneRest: fleet.mostInOneRest(UNDER_WAY_MILLISECONDS),
+    mostInOneRest: fleet.arrivals.mostInOneRest(UNDER_WAY_MILLISECONDS),
     turnedAwayAtTargets: turnedAway.length,
     refused: fleet.answers.refused,
     inTime: fleet.times.filter(isInTime).length,
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -21,6 +21,7 @@
 import { RequestMetrics } from './request/request-metrics.js';
 import { TargetClient } from './request/target-client.js';
 import { TargetWords } from './request/target-words.js';
+import { restingTargets } from './routing/resting-targets.js';
 import type { RoutingState } from './routing/routing-state.js';
 import { RunDelay } from './run-delay.js';
 import { checkConnection } from './suspects/check-connection.js';
@@ -171,7 +172,7 @@
       rests: this.#words.rests,
       unwantedSends: this.#words.unwantedSends,
       targetsSaidLeaving: this.#words.leaving,
-      resting: state.restingTargets(),
+      resting: restingTargets(services, clock.now()),
       suspectRequests: this.#member.suspects.table.suspects.length,
     });
   }
--- a/packages/entry/src/metrics-text.ts
+++ b/packages/entry/src/metrics-text.ts
@@ -1,13 +1,6 @@
 import type { AccountRow } from './request/account-metrics.js';
 import type { ClassMetrics, RequestMetrics } from './request/request-metrics.js';
-
-/** A target that is at rest for this host. */
-export interface RestingTarget {
-  readonly service: string;
-  readonly target: string;
-  /** How much of its rest is left. */
-  readonly milliseconds: number;
-}
+import type { RestingTarget } from './routing/resting-targets.js';
 
 const QUANTILES = [0.5, 0.9, 0.99];
 const MILLISECONDS_PER_SECOND = 1_000;
--- a/packages/entry/src/request/request-forwarder.ts
+++ b/packages/entry/src/request/request-forwarder.ts
@@ -9,6 +9,7 @@
 import type { BodyReader } from './body-reader.js';
 import type { CallerExchange, RoutedExchange } from './caller-exchange.js';
 import { keyOf } from './caller-exchange.js';
+import { describeVerdict } from './describe-verdict.js';
 import type { HeaderDialect } from './dialect.js';
 import type { EventLog } from '../events.js';
 import type { SuspectDuty } from '../suspects/suspect-duty.js';
@@ -306,7 +307,7 @@
       target: target.id,
       attempt: progress.attempts,
       milliseconds: Math.round(clock.now() - (send?.sentAt ?? exchange.arrivedAt)),
-      ...describe(verdict),
+      ...describeVerdict(verdict),
       load: target.load(clock.now()),
       beliefAgeMilliseconds: Math.round(clock.now() - state.confirmedAt),
     });
@@ -323,17 +324,3 @@
   await setImmediate();
   return request.socket.readableEnded || request.socket.destroyed;
 }
-
-/** What a log line says of a send that brought no answer to pass on. */
-function describe(verdict: SendVerdict): { ran: 'no' | 'unknown'; reason: string; detail: string } {
-  switch (verdict.kind) {
-    case 'answered':
-      return { ran: 'unknown', reason: 'server-error', detail: `status ${verdict.answer.status}` };
-    case 'not-run':
-      return { ran: 'no', reason: verdict.reason, detail: verdict.detail };
-    case 'unknown':
-      return { ran: 'unknown', reason: verdict.reason, detail: verdict.detail };
-    case 'ended':
-      return { ran: verdict.wasSent ? 'unknown' : 'no', reason: verdict.cause, detail: '' };
-  }
-}
--- a/packages/entry/src/routing/routing-state.ts
+++ b/packages/entry/src/routing/routing-state.ts
@@ -23,7 +23,6 @@
 import type { EventLog } from '../events.js';
 import type { FleetChange } from '../fleet/fleet-record.js';
 import type { FleetView } from '../fleet/fleet-view.js';
-import type { RestingTarget } from '../metrics-text.js';
 import { VanishedTargets } from './vanished-targets.js';
 
 export interface RoutingStateOptions {
@@ -140,20 +139,6 @@
     this.#overflows.setRegion(asked, near.length);
   }
 
-  /** Targets that have asked this host for rest that is not over. */
-  restingTargets(): RestingTarget[] {
-    const now = this.#options.clock.now();
-    return [...this.#services.values()].flatMap(({ name, targets }) =>
-      [...targets.values()]
-        .filter(({ word }) => word.isResting(now))
-        .map(({ id, word }) => ({
-          service: name,
-          target: id,
-          milliseconds: word.restsUntil - now,
-        })),
-    );
-  }
-
   /** Writes down where each service's keys are served. */
   logPlacement(): void {
     for (const { name, placement } of this.#services.values()) {
--- a/packages/entry/tests/rests/resting-targets.test.ts
+++ b/packages/entry/tests/rests/resting-targets.test.ts
@@ -84,9 +84,9 @@
       resting.add(target);
     }
     await callUntilEnd(running);
-    const rested = running.fleet.arrivals.filter(({ reply }) => reply.restMilliseconds);
+    const rested = running.fleet.arrivals.all.filter(({ reply }) => reply.restMilliseconds);
     expect(rested.length).toBeGreaterThan(RESTING_TARGETS);
-    expect(running.fleet.mostInOneRest(UNDER_WAY_MILLISECONDS)).toBe(0);
+    expect(running.fleet.arrivals.mostInOneRest(UNDER_WAY_MILLISECONDS)).toBe(0);
   });
 
   it('get none also where one of twelve hosts is asked, and the others go on', async () => {
@@ -101,8 +101,8 @@
     );
     resting = running.fleet.targets[0] ?? '';
     await callUntilEnd(running);
-    expect(running.fleet.mostInOneRest(UNDER_WAY_MILLISECONDS)).toBe(0);
-    const ofOthers = running.fleet.arrivals.filter(
+    expect(running.fleet.arrivals.mostInOneRest(UNDER_WAY_MILLISECONDS)).toBe(0);
+    const ofOthers = running.fleet.arrivals.all.filter(
       (arrival) => arrival.target === resting && arrival.host !== asked && isInEpisode(arrival),
     );
     expect(ofOthers.length).toBeGreaterThan(10);
@@ -113,8 +113,8 @@
       isInEpisode(arrival) ? { restMilliseconds: REST_MILLISECONDS } : undefined,
     );
     await callUntilEnd(running);
-    expect(running.fleet.mostInOneRest(UNDER_WAY_MILLISECONDS)).toBe(0);
-    const after = running.fleet.arrivals.filter(
+    expect(running.fleet.arrivals.mostInOneRest(UNDER_WAY_MILLISECONDS)).toBe(0);
+    const after = running.fleet.arrivals.all.filter(
       ({ at }) => at > EPISODE.until + REST_MILLISECONDS && at < EPISODE.endAt,
     );
     expect(new Set(after.map(({ target }) => target)).size).toBe(20);
@@ -131,7 +131,7 @@
       leaving.add(target);
     }
     await callUntilEnd(running);
-    expect(running.fleet.arrivals.some(({ reply }) => reply.isLeaving === true)).toBe(true);
-    expect(running.fleet.sentAfterLeaving(DRAIN_MILLISECONDS)).toBe(0);
+    expect(running.fleet.arrivals.all.some(({ reply }) => reply.isLeaving === true)).toBe(true);
+    expect(running.fleet.arrivals.sentAfterLeaving(DRAIN_MILLISECONDS)).toBe(0);
   });
 });
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -17,6 +17,7 @@
 export type { AdmissionFailure, AdmittedRoute } from './accounts/account-table.js';
 export { clientAccountSchema, clientAccountsSchema } from './accounts/client-account.js';
 export type { ClientAccount } from './accounts/client-account.js';
+export type { CommonRest } from './common-rest.js';
 export { chooseShare } from './choose-share.js';
 export { mostLoadPerSlot } from './most-load-per-slot.js';
 export type { LoadBoundInput } from './most-load-per-slot.js';
@@ -49,7 +50,6 @@
 export { RoundTrips } from './round-trips.js';
 export { ServiceTargets } from './service-targets.js';
 export type {
-  CommonRest,
   PutOutcome,
   SeekingRequest,
   ServiceTargetsOptions,
--- a/packages/routing/src/service-targets.ts
+++ b/packages/routing/src/service-targets.ts
@@ -1,6 +1,8 @@
 import { MovingAverage } from '@ferrylock/utils';
 import type { Clock } from '@ferrylock/utils';
 import { ColdGate } from './cold-gate.js';
+import { commonRest } from './common-rest.js';
+import type { CommonRest } from './common-rest.js';
 import { FormerWords } from './former-words.js';
 import { RetryAllowance } from './divided-limits.js';
 import type { RetryBound } from './divided-limits.js';
@@ -25,8 +27,6 @@
 /** Weight of one answer in the average time of work: some two seconds of a host's requests. */
 const RUN_WEIGHT = 0.02;
 const MILLISECONDS_PER_SECOND = 1_000;
-/** Targets that a refused request's line names as the cause. */
-const MOST_NAMED = 4;
 
 export interface ServiceTargetsOptions {
   readonly clock: Clock;
@@ -68,14 +68,6 @@
 /** What a record brought: a target, another start of one, or news of a known start. */
 export type PutOutcome = 'added' | 'reborn' | 'updated';
 
-/** All targets that might take a request have asked this host for rest. */
-export interface CommonRest {
-  /** Until the first of them wants work. */
-  readonly milliseconds: number;
-  /** The first few whose rest ends. */
-  readonly targets: readonly string[];
-}
-
 /** One service's targets, how to choose among them, and what its requests may draw on. */
 export class ServiceTargets {
   readonly targets = new Map<string, TargetState>();
@@ -212,33 +204,14 @@
       : runMilliseconds * mostLoadPerSlot({ route, runMilliseconds, leastUrgent });
   }
 
-  /**
-   * Where all targets that may take a request of this route rest: for how long, and which end first. Undefined where one
-   * wants work, or there is none. The first that does not rest ends the look.
-   */
+  /** Where all targets that may take a request of this route rest: until when. Undefined where one wants work. */
   commonRest({ homeRegions }: Pick<Route, 'homeRegions'>): CommonRest | undefined {
     const { clock, regionOf, isEvacuated, leftOut } = this.#options;
-    const now = clock.now();
-    const resting: TargetState[] = [];
-    for (const target of this.targets.values()) {
-      const { failureDomain } = target.record;
-      const isHome = homeRegions.length === 0 || homeRegions.includes(regionOf(failureDomain));
-      if (!isHome || target.leaving || isEvacuated(failureDomain)) {
-        continue;
-      }
-      if (!target.isResting(now, leftOut)) {
-        return undefined;
-      }
-      resting.push(target);
-    }
-    resting.sort((a, b) => a.word.restsUntil - b.word.restsUntil);
-    const [first] = resting;
-    return first === undefined
-      ? undefined
-      : {
-          milliseconds: first.word.restsUntil - now,
-          targets: resting.slice(0, MOST_NAMED).map(({ id }) => id),
-        };
+    const mayTake = ({ leaving, record: { failureDomain } }: TargetState): boolean =>
+      !leaving &&
+      !isEvacuated(failureDomain) &&
+      (homeRegions.length === 0 || homeRegions.includes(regionOf(failureDomain)));
+    return commonRest(this.targets.values(), { now: clock.now(), mayTake, leftOut });
   }
 
   /**
--- a/packages/test-utils/src/index.ts
+++ b/packages/test-utils/src/index.ts
@@ -28,14 +28,10 @@
   makeRoute,
   makeTargetRecord,
 } from './routes-and-targets.js';
-export { RestFleet } from './rest-fleet.js';
-export type {
-  FleetArrival,
-  RestFleetOptions,
-  RestOfOthers,
-  TargetConduct,
-  TargetReply,
-} from './rest-fleet.js';
+export type { FleetArrival, TargetConduct, TargetReply } from './rests/fleet-arrivals.js';
+export { RestFleet } from './rests/rest-fleet.js';
+export type { RestFleetOptions } from './rests/rest-fleet.js';
+export type { RestOfOthers } from './rests/told-rests.js';
 export { PausableClock, ProcessPause } from './process-pause.js';
 export { QuotaFleet } from './quotas/quota-fleet.js';
 export type { QuotaFleetOptions } from './quotas/quota-fleet.js';
--- a/packages/test-utils/src/rest-fleet.ts
+++ b/packages/test-utils/src/rests/rest-fleet.ts
@@ -2,8 +2,12 @@
 import type { LeftOut, Route, ServiceTargets, TargetState } from '@ferrylock/routing';
 import type { Clock, Random } from '@ferrylock/utils';
 import { randomIndex, SeededRandom, silentLogger } from '@ferrylock/utils';
-import type { EntryFleetHost } from './entry-fleet.js';
-import { EntryFleet } from './entry-fleet.js';
+import type { EntryFleetHost } from '../entry-fleet.js';
+import { EntryFleet } from '../entry-fleet.js';
+import { FleetArrivals } from './fleet-arrivals.js';
+import type { TargetConduct, TargetReply } from './fleet-arrivals.js';
+import type { RestOfOthers } from './told-rests.js';
+import { ToldRests } from './told-rests.js';
 
 const MILLISECONDS_PER_SECOND = 1_000;
 /** Targets that one request is sent to. */
@@ -14,38 +18,6 @@
 /** Requests for each slot above which a target turns away of itself, and for how long it then wants no more. */
 const FULL_PER_SLOT = 3;
 
-/** From a host's being asked for rest to the others' knowing, and how often a hint is renewed there. */
-const TOLD_AFTER_MILLISECONDS = 150;
-const HINT_MILLISECONDS = 90;
-
-/** What a target does with a request. */
-export interface TargetReply {
-  /** It turns the request away and wants none from this host for so long; 0 asks for nothing. */
-  readonly restMilliseconds?: number;
-  /** Its answer says that it leaves. */
-  readonly isLeaving?: boolean;
-}
-
-/** A request that reached a target. */
-export interface FleetArrival {
-  readonly host: string;
-  readonly target: string;
-  readonly at: number;
-  /** When its caller sent it. */
-  readonly askedAt: number;
-  /** What the target replied, at that moment. */
-  readonly reply: TargetReply;
-}
-
-/** Decides how a target replies; `undefined` leaves it to the target's load. */
-export type TargetConduct = (arrival: Omit<FleetArrival, 'reply'>) => TargetReply | undefined;
-
-/**
- * What a host makes of a rest that another one was asked for. `hint`: it prefers other targets as long; `hint-from-two`: once
- * two hosts were asked.
- */
-export type RestOfOthers = 'nothing' | 'the-same' | 'hint' | 'hint-from-two';
-
 /** How a request ended for its caller. */
 export type RestFleetAnswer = 'answered' | 'refused';
 
@@ -88,7 +60,7 @@
  */
 export class RestFleet {
   readonly fleet: EntryFleet;
-  readonly arrivals: FleetArrival[] = [];
+  readonly arrivals: FleetArrivals;
   readonly answers: Record<RestFleetAnswer, number> = { answered: 0, refused: 0 };
   /** Milliseconds from the request to its answer. */
   readonly times: number[] = [];
@@ -96,8 +68,7 @@
   readonly #random: Random;
   readonly #words = new Map<string, TargetWords>();
   readonly #loads = new Map<string, EmulatedLoad>();
-  /** Hosts that each target asked for rest, with the end of it. */
-  readonly #asked = new Map<string, Map<string, number>>();
+  readonly #told: ToldRests;
   /** Requests that a host may have at a target that it comes back to, by host and target. */
   readonly #steps = new Map<string, number>();
 
@@ -110,6 +81,12 @@
       targetsPerService: options.targets,
       services: 1,
     });
+    this.arrivals = new FleetArrivals(this.#way);
+    this.#told = new ToldRests({
+      clock: options.clock,
+      others: options.others ?? 'nothing',
+      atOthers: (host, target) => this.#atOthers(host, target),
+    });
     this.fleet.start();
   }
 
@@ -147,40 +124,6 @@
     return answer;
   }
 
-  /**
-   * The most requests that reached a target from a host in one of its rests, from a moment after the answer that
-   * asked for it.
-   */
-  mostInOneRest(afterMilliseconds: number): number {
-    const rests = this.arrivals.filter(({ reply }) => (reply.restMilliseconds ?? 0) > 0);
-    const counts = rests.map(({ host, target, at, reply }) => {
-      const from = at + afterMilliseconds;
-      const until = at + (reply.restMilliseconds ?? 0);
-      const isIn = (arrival: FleetArrival): boolean =>
-        arrival.host === host &&
-        arrival.target === target &&
-        arrival.at > from &&
-        arrival.at < until;
-      return this.arrivals.filter(isIn).length;
-    });
-    return Math.max(0, ...counts);
-  }
-
-  /** Requests that callers sent later than this after a target's first word to a host that it leaves, and that reached it. */
-  sentAfterLeaving(afterMilliseconds: number): number {
-    const saidAt = new Map<string, number>();
-    let count = 0;
-    for (const { host, target, at, askedAt, reply } of this.arrivals) {
-      const pair = `${host} ${target}`;
-      const said = saidAt.get(pair);
-      count += Number(said !== undefined && askedAt > said + afterMilliseconds);
-      if (reply.isLeaving === true && said === undefined) {
-        saidAt.set(pair, at + this.#way);
-      }
-    }
-    return count;
-  }
-
   get #way(): number {
     return this.#options.wayMilliseconds ?? 1;
   }
@@ -258,7 +201,7 @@
     await clock.sleep(this.#way);
     const arrival = { host: host.record.name, target: target.id, at: clock.now(), askedAt };
     const reply = conduct(arrival) ?? this.#replyByLoad(target);
-    this.arrivals.push({ ...arrival, reply });
+    this.arrivals.all.push({ ...arrival, reply });
     const isTurnedAway = reply.restMilliseconds !== undefined;
     const load = isTurnedAway ? undefined : await this.#run(target, key);
     await clock.sleep(this.#way);
@@ -270,7 +213,7 @@
     if (isTurnedAway) {
       target.recordShed(clock.now());
       this.#steps.set(`${host.record.name} ${target.id}`, 1);
-      this.#tellOthers(host, target, reply.restMilliseconds);
+      this.#told.tell(host.record.name, target.id, reply.restMilliseconds ?? 0);
       return false;
     }
     target.recordLoad(load ?? 0, clock.now());
@@ -311,42 +254,9 @@
     }
   }
 
-  #tellOthers(host: EntryFleetHost, { id }: TargetState, milliseconds = 0): void {
-    const { clock, others = 'nothing' } = this.#options;
-    const until = clock.now() + milliseconds;
-    const asked = this.#asked.get(id) ?? new Map<string, number>();
-    this.#asked.set(id, asked.set(host.record.name, until));
-    const askedNow = [...asked.values()].filter((end) => end > clock.now()).length;
-    if (
-      milliseconds === 0 ||
-      others === 'nothing' ||
-      (others === 'hint-from-two' && askedNow < 2)
-    ) {
-      return;
-    }
-    clock.after(TOLD_AFTER_MILLISECONDS, () => {
-      for (const other of this.fleet.hosts.filter((entry) => entry !== host)) {
-        this.#hear(other, id, until);
-      }
-    });
-  }
-
-  /** A host hears that another one was asked for rest. */
-  #hear(host: EntryFleetHost, id: string, until: number): void {
-    const { clock, others } = this.#options;
-    const now = clock.now();
-    const target = this.#service(host)?.targets.get(id);
-    if (now >= until) {
-      return;
-    }
-    if (others === 'the-same') {
-      target?.word.recordRest(until - now, now);
-    } else {
-      target?.recordShed(now);
-      clock.after(HINT_MILLISECONDS, () => {
-        this.#hear(host, id, until);
-      });
-    }
+  #atOthers(name: string, target: string): TargetState[] {
+    const others = this.fleet.hosts.filter(({ record }) => record.name !== name);
+    return others.flatMap((other) => this.#service(other)?.targets.get(target) ?? []);
   }
 
   #service(host: EntryFleetHost | undefined): ServiceTargets | undefined {
