--- a/packages/daemon/tests/resting-targets.test.ts
+++ b/packages/daemon/tests/resting-targets.test.ts
@@ -12,6 +12,8 @@
 const LONG_REST_SECONDS = '600';
 const CALLS = 40;
 const PAUSE_MILLISECONDS = 20;
+/** Shorter than the time after which a probe is given up. */
+const PROBE_MILLISECONDS = 400;
 /** Rounds of probes, which are a second apart. */
 const PROBES = 2;
 
@@ -39,6 +41,23 @@
   Object.assign(target ?? {}, { behaviour: 'shed', rest: seconds });
 }
 
+describe('a target that says that it leaves', () => {
+  it('leaves also by a probe that was under way before and says nothing of it', async () => {
+    const running = await start({ targets: 2, service: { probePath: '/health' } });
+    const [leaving] = running.targets;
+    Object.assign(leaving ?? {}, { probeMilliseconds: PROBE_MILLISECONDS });
+    await sendAll(running);
+    const before = leaving?.probes ?? 0;
+    await until(() => (leaving?.probes ?? 0) > before);
+    Object.assign(leaving ?? {}, { leaving: true });
+    await sendAll(running);
+    const target = running.daemon.components.directory.allServices()[0]?.targets.get('t0');
+    expect(target?.leaving).toBe(true);
+    await new Promise((resolve) => setTimeout(resolve, PROBE_MILLISECONDS));
+    expect(target?.leaving).toBe(true);
+  });
+});
+
 describe('a target that sheds and asks for rest', () => {
   it('gets nothing more from the daemon that it asked, and others serve its callers', async () => {
     const running = await start({ targets: 2 });
--- a/packages/test-utils/src/target-stand-in.ts
+++ b/packages/test-utils/src/target-stand-in.ts
@@ -36,8 +36,9 @@
   reportedLoad: number | undefined;
   /** What it says with each request that it sheds: seconds in which it wants no more. */
   rest: string | undefined;
-  /** Probes that arrived. */
+  /** Probes that arrived, and how long each waits for its answer, which tells of the moment of its arrival. */
   probes = 0;
+  probeMilliseconds = 0;
   /** Requests that arrived, whatever was done with them, apart from probes. */
   timesMet = 0;
   /** Requests begun, apart from probes. */
@@ -108,6 +109,7 @@
     }
     if (request.url === '/health') {
       this.probes++;
+      await new Promise((resolve) => setTimeout(resolve, this.probeMilliseconds));
       response.writeHead(this.behaviour === 'unavailable' ? 503 : 200).end();
       return;
     }
