feat: what targets name as a limit, and headers that hosts do not know, are read, written and counted

Change: lines 'target ... limited', 'unlimited', 'unknown-header' (each name once, 32 at most, nothing of a value); counters of limits and of requests sent while one is named, a gauge of each. Nothing is decided by it yet. Decided in words: an answer to a request that was sent before the last word was heard may be older and only makes a limit stricter; none is one in ten seconds, since only an answer can take it back; unreadable ones change nothing.

--- a/packages/bench/src/benches/rest-cost.ts
+++ b/packages/bench/src/benches/rest-cost.ts
@@ -12,7 +12,12 @@
 const LOOKED_AT = 36;
 const MOST_OF_REQUEST = 0.01;
 const SERVICE = { name: 'verdict-api' };
-const SAYS_NOTHING = { isLeaving: false, restMilliseconds: undefined };
+const SAYS_NOTHING = {
+  isLeaving: false,
+  restMilliseconds: undefined,
+  limitPerSecond: undefined,
+  unknownHeaders: [],
+};
 
 /** What it costs a request that targets may ask for rest, while none does, beside a request of a process of its own. */
 export const restCost: Bench = async ({ progress }) => {
@@ -34,7 +39,7 @@
         }
         words.recordSend(first);
         resting += Number(first.isResting(clock.now()));
-        words.take(SERVICE, first, SAYS_NOTHING);
+        words.take(SERVICE, first, SAYS_NOTHING, now);
       }
     }) / REQUESTS;
   progress('whole requests …');
--- a/packages/bench/src/fleet/bench-headers.ts
+++ b/packages/bench/src/fleet/bench-headers.ts
@@ -35,6 +35,8 @@
       coldMilliseconds: undefined,
       isLeaving: false,
       restMilliseconds: undefined,
+      limitPerSecond: undefined,
+      unknownHeaders: [],
     };
   }
 
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -21,6 +21,7 @@
 import { RequestMetrics } from './request/request-metrics.js';
 import { TargetClient } from './request/target-client.js';
 import { TargetWords } from './request/target-words.js';
+import { limitedTargets } from './routing/limited-targets.js';
 import { restingTargets } from './routing/resting-targets.js';
 import type { RoutingState } from './routing/routing-state.js';
 import { RunDelay } from './run-delay.js';
@@ -173,6 +174,9 @@
       unwantedSends: this.#words.unwantedSends,
       targetsSaidLeaving: this.#words.leaving,
       resting: restingTargets(services, clock.now()),
+      limits: this.#words.limits,
+      limitedSends: this.#words.limitedSends,
+      limited: limitedTargets(services),
       suspectRequests: this.#member.suspects.table.suspects.length,
     });
   }
--- a/packages/entry/src/events.ts
+++ b/packages/entry/src/events.ts
@@ -89,6 +89,8 @@
       'distrusted',
       'leaving',
       'resting',
+      'limited',
+      'unlimited',
     ]),
     detail: z.string().optional(),
   }),
@@ -113,6 +115,13 @@
     service: z.string(),
     detail: z.string(),
   }),
+  /** An answer has a header that is meant for hosts and that this one does not know; written once for each name. */
+  z.object({
+    event: z.literal('unknown-header'),
+    target: z.string(),
+    service: z.string(),
+    header: z.string(),
+  }),
   /**
    * A target's connections closed before it had answered these requests. `refused`: the target has ended, and
    * one of them may be why. `taken` and `unknown`: the answers were lost, the target lives as far as is known.
@@ -210,7 +219,12 @@
   'unreadable-answer',
 ]);
 /** States of targets that requests bring about; the others come from records, which are few. */
-const REQUEST_STATES: ReadonlySet<string> = new Set(['failing', 'distrusted']);
+const REQUEST_STATES: ReadonlySet<string> = new Set([
+  'failing',
+  'distrusted',
+  'limited',
+  'unlimited',
+]);
 
 /** Whether lines like it come as often as requests do. */
 function isOfRequest(event: EntryEvent): boolean {
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -35,7 +35,8 @@
   HeaderDialect,
   TargetInstruction,
 } from './request/dialect.js';
-export { headerValues, readRest } from './request/rest-header.js';
+export { headerValues, readDecimal } from './request/decimal-header.js';
+export { readRest } from './request/rest-header.js';
 export { passOnHeaders } from './request/pass-on-headers.js';
 export { encodeSuspects, suspectsSchema } from './peers/suspect-rows.js';
 export { checkConnection } from './suspects/check-connection.js';
--- a/packages/entry/src/metrics-text.ts
+++ b/packages/entry/src/metrics-text.ts
@@ -1,5 +1,6 @@
 import type { AccountRow } from './request/account-metrics.js';
 import type { ClassMetrics, RequestMetrics } from './request/request-metrics.js';
+import type { LimitedTarget } from './routing/limited-targets.js';
 import type { RestingTarget } from './routing/resting-targets.js';
 
 const QUANTILES = [0.5, 0.9, 0.99];
@@ -25,6 +26,12 @@
   readonly targetsSaidLeaving: number;
   /** Targets that have asked this host for rest, and how much of it is left. */
   readonly resting: readonly RestingTarget[];
+  /** Limits that targets named, raised or lowered in answers to this host. */
+  readonly limits: number;
+  /** Requests that were sent to targets while these named a limit. */
+  readonly limitedSends: number;
+  /** Targets that name a limit, and which. */
+  readonly limited: readonly LimitedTarget[];
   /** Requests that are turned away since targets end under them. */
   readonly suspectRequests: number;
 }
@@ -47,6 +54,10 @@
     ...counter('targets_said_leaving_total', figures.targetsSaidLeaving),
     '# TYPE ferrylock_target_rest_seconds gauge',
     ...figures.resting.map(restLine),
+    ...counter('limits_total', figures.limits),
+    ...counter('limited_sends_total', figures.limitedSends),
+    '# TYPE ferrylock_target_limit_per_second gauge',
+    ...figures.limited.map(limitLine),
     '# TYPE ferrylock_requests_total counter',
     '# TYPE ferrylock_request_seconds summary',
   ];
@@ -89,6 +100,10 @@
   return `ferrylock_target_rest_seconds{service="${service}",target="${target}"} ${seconds}`;
 }
 
+function limitLine({ service, target, perSecond }: LimitedTarget): string {
+  return `ferrylock_target_limit_per_second{service="${service}",target="${target}"} ${perSecond}`;
+}
+
 /** The format's own word for infinity. */
 function number(value: number): string {
   return Number.isFinite(value) ? String(value) : '+Inf';
--- a/packages/entry/src/request/dialect.ts
+++ b/packages/entry/src/request/dialect.ts
@@ -43,6 +43,13 @@
    * where it makes no sense.
    */
   readonly restMilliseconds: number | undefined;
+  /**
+   * Requests a second that the target takes from all hosts together, for as long as its answers say so; undefined where
+   * this one does not, NaN where it makes no sense.
+   */
+  readonly limitPerSecond: number | undefined;
+  /** Names of headers that are meant for hosts and that this host does not know. */
+  readonly unknownHeaders: readonly string[];
 }
 
 /** How callers and targets name what they say in headers. */
--- a/packages/entry/src/request/target-send.ts
+++ b/packages/entry/src/request/target-send.ts
@@ -142,7 +142,7 @@
     if (!facts.isNotRun && facts.requestId !== exchange.requestId) {
       return new StrayAnswer(`the answer is to request ${facts.requestId ?? 'without id'}`);
     }
-    words.take(service, target, facts);
+    words.take(service, target, facts, this.sentAt);
     return !facts.isNotRun && isSuccess(status) && !facts.isSigned
       ? new UnsignedAnswer('a success without the target’s mark')
       : undefined;
--- a/packages/entry/src/request/target-words.ts
+++ b/packages/entry/src/request/target-words.ts
@@ -13,7 +13,14 @@
 const SHORTEST_LOGGED_MILLISECONDS = 500;
 
 /** What targets say of themselves in their answers. */
-export type SaidOfItself = Pick<AnswerFacts, 'isLeaving' | 'restMilliseconds'>;
+export type SaidOfItself = Pick<
+  AnswerFacts,
+  'isLeaving' | 'restMilliseconds' | 'limitPerSecond' | 'unknownHeaders'
+>;
+
+/** Names of headers that are written down; more would rather be a fault at a target. */
+const MOST_UNKNOWN_HEADERS = 32;
+const LONGEST_NAME_CHARACTERS = 64;
 
 export interface TargetWordsOptions {
   readonly clock: Clock;
@@ -28,6 +35,11 @@
   leaving = 0;
   /** Requests that were sent to a target that had asked for rest, or said that it leaves. */
   unwantedSends = 0;
+  /** Limits that targets named, raised or lowered. */
+  limits = 0;
+  /** Requests that were sent to targets while these named a limit. */
+  limitedSends = 0;
+  readonly #unknownHeaders = new Set<string>();
   readonly #options: TargetWordsOptions;
 
   constructor(options: TargetWordsOptions) {
@@ -39,10 +51,17 @@
     if (word.isLeaving || word.isResting(this.#options.clock.now())) {
       this.unwantedSends++;
     }
+    if (word.limit.perSecond !== undefined) {
+      this.limitedSends++;
+    }
   }
 
-  /** An answer of the target begins. */
-  take(service: NamedService, target: TargetState, said: SaidOfItself): void {
+  /**
+   * An answer of the target begins.
+   *
+   * @param sentAt - when the request was sent, in monotonic milliseconds
+   */
+  take(service: NamedService, target: TargetState, said: SaidOfItself, sentAt: number): void {
     if (said.isLeaving && target.word.recordLeaving()) {
       this.leaving++;
       this.#log(service, target, 'leaving', 'said in an answer');
@@ -50,18 +69,54 @@
     if (said.restMilliseconds !== undefined) {
       this.#takeRest(service, target, said.restMilliseconds);
     }
+    this.#takeLimit(service, target, said.limitPerSecond, sentAt);
+    for (const header of said.unknownHeaders) {
+      this.#takeUnknown(service, target, header);
+    }
+  }
+
+  #takeLimit(
+    service: NamedService,
+    target: TargetState,
+    perSecond: number | undefined,
+    sentAt: number,
+  ): void {
+    if (Number.isNaN(perSecond)) {
+      this.#logUnreadable(service, target, 'limit: expected requests a second, not negative');
+      return;
+    }
+    const { limit } = target.word;
+    if (!limit.record(perSecond, { sentAt, now: this.#options.clock.now() })) {
+      return;
+    }
+    if (limit.perSecond === undefined) {
+      this.#log(service, target, 'unlimited', 'names no limit any more');
+    } else {
+      this.limits++;
+      this.#log(service, target, 'limited', `takes ${limit.perSecond} requests a second`);
+    }
+  }
+
+  /** Each header once, and nothing of its value. */
+  #takeUnknown(service: NamedService, target: TargetState, header: string): void {
+    const name = header.slice(0, LONGEST_NAME_CHARACTERS);
+    if (this.#unknownHeaders.size >= MOST_UNKNOWN_HEADERS || this.#unknownHeaders.has(name)) {
+      return;
+    }
+    this.#unknownHeaders.add(name);
+    const { events } = this.#options;
+    events.write({
+      event: 'unknown-header',
+      target: target.id,
+      service: service.name,
+      header: name,
+    });
   }
 
   #takeRest(service: NamedService, target: TargetState, milliseconds: number): void {
-    const { clock, events } = this.#options;
+    const { clock } = this.#options;
     if (Number.isNaN(milliseconds)) {
-      const detail = 'rest: expected seconds, not negative';
-      events.write({
-        event: 'unreadable-answer',
-        target: target.id,
-        service: service.name,
-        detail,
-      });
+      this.#logUnreadable(service, target, 'rest: expected seconds, not negative');
       return;
     }
     if (!target.word.recordRest(milliseconds, clock.now())) {
@@ -73,10 +128,15 @@
     }
   }
 
+  #logUnreadable({ name }: NamedService, { id }: TargetState, detail: string): void {
+    const { events } = this.#options;
+    events.write({ event: 'unreadable-answer', target: id, service: name, detail });
+  }
+
   #log(
     service: NamedService,
     { id, start }: TargetState,
-    state: 'leaving' | 'resting',
+    state: 'leaving' | 'resting' | 'limited' | 'unlimited',
     detail: string,
   ): void {
     this.#options.events.write({
--- a/packages/entry/tests/metrics-text.test.ts
+++ b/packages/entry/tests/metrics-text.test.ts
@@ -14,6 +14,9 @@
   rests: 5,
   unwantedSends: 6,
   targetsSaidLeaving: 7,
+  limits: 8,
+  limitedSends: 9,
+  limited: [{ service: 'verdict-api', target: 'i-2', perSecond: 2.5 }],
   resting: [{ service: 'verdict-api', target: 'i-1', milliseconds: 2_300 }],
 };
 
@@ -39,6 +42,9 @@
         'ferrylock_rests_total 5',
         'ferrylock_unwanted_sends_total 6',
         'ferrylock_targets_said_leaving_total 7',
+        'ferrylock_limits_total 8',
+        'ferrylock_limited_sends_total 9',
+        'ferrylock_target_limit_per_second{service="verdict-api",target="i-2"} 2.5',
         'ferrylock_target_rest_seconds{service="verdict-api",target="i-1"} 2.3',
       ]),
     );
--- a/packages/entry/tests/request/target-send.test.ts
+++ b/packages/entry/tests/request/target-send.test.ts
@@ -28,6 +28,8 @@
   coldMilliseconds: undefined,
   isLeaving: false,
   restMilliseconds: undefined,
+  limitPerSecond: undefined,
+  unknownHeaders: [],
 };
 
 const dialect = {
--- a/packages/routing/src/former-words.ts
+++ b/packages/routing/src/former-words.ts
@@ -8,7 +8,7 @@
 
 /**
  * What starts of targets said of themselves whose record has gone. A record goes and comes back while its target lives:
- * the store lost it, or a host learned of it late. Such a target still leaves, or rests. Where targets do not tell when they
+ * the store lost it, or a host learned of it late. Such a target still leaves, rests, or has its limit. Where targets do not tell when they
  * began, the id names the start.
  */
 export class FormerWords {
@@ -16,7 +16,7 @@
 
   /** Its record has gone. */
   keep({ start, word }: TargetState, now: number): void {
-    if (!word.isLeaving && !word.isResting(now)) {
+    if (!word.isLeaving && !word.isResting(now) && word.limit.perSecond === undefined) {
       return;
     }
     this.#kept.delete(start);
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -66,6 +66,8 @@
 export type { TargetStart } from './target-start.js';
 export { TargetState } from './target-state.js';
 export { TargetWord } from './target-word.js';
+export { LimitWord } from './limits/limit-word.js';
+export type { HeardLimit } from './limits/limit-word.js';
 export { ColdGate } from './cold-gate.js';
 export type { ColdDemand } from './cold-gate.js';
 export {
--- a/packages/routing/src/target-word.ts
+++ b/packages/routing/src/target-word.ts
@@ -1,3 +1,5 @@
+import { LimitWord } from './limits/limit-word.js';
+
 /**
  * Longest that a target is left alone at its word, in milliseconds; then it may be asked again, and says so again if it still wants
  * nothing. What asks for longer (a year, a date in seconds) is a mistake at the target, which would lose it until its next start.
@@ -5,10 +7,12 @@
 const LONGEST_REST_MILLISECONDS = 3_600_000;
 
 /**
- * What a start of a target has said of itself in its answers to this host. Nothing takes it back but time: neither a record that was
- * written before, nor a later answer that says less.
+ * What a start of a target has said of itself in its answers to this host. No record takes it back that was written before. A later
+ * answer that says less takes back its limit alone; that it leaves, and its rest, hold all the same.
  */
 export class TargetWord {
+  /** How many requests it takes from all hosts together. */
+  readonly limit = new LimitWord();
   #isLeaving = false;
   #restsUntil = -Infinity;
 
--- a/packages/test-utils/src/rests/fleet-arrivals.ts
+++ b/packages/test-utils/src/rests/fleet-arrivals.ts
@@ -4,6 +4,8 @@
   readonly restMilliseconds?: number;
   /** Its answer says that it leaves. */
   readonly isLeaving?: boolean;
+  /** Its answer names so many requests a second, from all hosts together. */
+  readonly limitPerSecond?: number;
 }
 
 /** A request that reached a target. */
--- a/packages/test-utils/src/rests/rest-fleet.ts
+++ b/packages/test-utils/src/rests/rest-fleet.ts
@@ -206,10 +206,17 @@
     const load = isTurnedAway ? undefined : await this.#run(target, key);
     await clock.sleep(this.#way);
     target.inFlight--;
-    words.take(service, target, {
-      isLeaving: reply.isLeaving === true,
-      restMilliseconds: reply.restMilliseconds === 0 ? undefined : reply.restMilliseconds,
-    });
+    words.take(
+      service,
+      target,
+      {
+        isLeaving: reply.isLeaving === true,
+        restMilliseconds: reply.restMilliseconds === 0 ? undefined : reply.restMilliseconds,
+        limitPerSecond: reply.limitPerSecond,
+        unknownHeaders: [],
+      },
+      sentAt,
+    );
     if (isTurnedAway) {
       target.recordShed(clock.now());
       this.#steps.set(`${host.record.name} ${target.id}`, 1);
