test: targets that name a limit get what they got before (fails)

What callers of the targets saw: one that named 4.9 requests a second for all hosts together got 54 in 4 s from hosts that had heard it, one that named 3.2 got 55.

The check takes the users' own words (windows of 4 s, from 4 s after the first word, from hosts that heard it half a second before, 1.5 times and 5 on top); it is one module for both.

--- a/packages/bench/src/benches/rests.ts
+++ b/packages/bench/src/benches/rests.ts
@@ -1,9 +1,9 @@
-import { FakeClock, RestFleet } from '@ferrylock/test-utils';
-import type { FleetArrival, RestFleetOptions, TargetReply } from '@ferrylock/test-utils';
+import { FakeClock, WordFleet } from '@ferrylock/test-utils';
+import type { FleetArrival, WordFleetOptions, TargetReply } from '@ferrylock/test-utils';
 import type { Bench, Row } from '../report.js';
 import { atMost } from '../report.js';
 
-type Way = Pick<RestFleetOptions, 'others' | 'comeBack' | 'leftOut'>;
+type Way = Pick<WordFleetOptions, 'others' | 'comeBack' | 'leftOut'>;
 
 /** What is made of a rest. The second is what hosts do. */
 const CHOSEN = 'each host by what it was told itself';
@@ -56,11 +56,11 @@
   { hosts, targets }: (typeof SIZES)[number],
   trouble: Trouble,
   seed: number,
-): Promise<RestFleet> {
+): Promise<WordFleet> {
   const clock = new FakeClock();
   const places = new Map<string, number>();
   const beginsAt = SETTLE_MILLISECONDS;
-  const fleet = new RestFleet({
+  const fleet = new WordFleet({
     clock,
     hosts,
     domains: 6,
@@ -88,7 +88,7 @@
   return fleet;
 }
 
-function describe(fleet: RestFleet) {
+function describe(fleet: WordFleet) {
   const turnedAway = fleet.arrivals.all.filter(({ reply }) => reply.restMilliseconds !== undefined);
   const isInTime = (milliseconds: number): boolean => milliseconds <= AIM_MILLISECONDS;
   return {
--- a/packages/daemon/tests/resting-targets.test.ts
+++ b/packages/daemon/tests/resting-targets.test.ts
@@ -1,5 +1,5 @@
 /**
- * The incident of `packages/entry/tests/rests/resting-targets.test.ts` at `ferrylockd`, with real connections: targets that
+ * The incident of `packages/entry/tests/words/resting-targets.test.ts` at `ferrylockd`, with real connections: targets that
  * shed and say for how long they want no more. Callers wait for each answer, so that nothing is on its way when the
  * daemon has a target's word.
  */
--- a/packages/entry/tests/rests/resting-targets.test.ts
+++ b/packages/entry/tests/words/resting-targets.test.ts
@@ -1,4 +1,4 @@
-import { FakeClock, RestFleet } from '@ferrylock/test-utils';
+import { FakeClock, WordFleet } from '@ferrylock/test-utils';
 import type { FleetArrival, TargetConduct } from '@ferrylock/test-utils';
 import { describe, expect, it } from 'vitest';
 
@@ -38,7 +38,7 @@
 
 async function setUp(conduct: TargetConduct, hosts = 10, targets = 20): Promise<Running> {
   const clock = new FakeClock();
-  const fleet = new RestFleet({
+  const fleet = new WordFleet({
     clock,
     hosts,
     domains: 6,
@@ -53,7 +53,7 @@
 
 interface Running {
   readonly clock: FakeClock;
-  readonly fleet: RestFleet;
+  readonly fleet: WordFleet;
 }
 
 async function callUntilEnd({ clock, fleet }: Running): Promise<void> {
--- a/packages/test-utils/src/index.ts
+++ b/packages/test-utils/src/index.ts
@@ -28,10 +28,12 @@
   makeRoute,
   makeTargetRecord,
 } from './routes-and-targets.js';
-export type { FleetArrival, TargetConduct, TargetReply } from './rests/fleet-arrivals.js';
-export { RestFleet } from './rests/rest-fleet.js';
-export type { RestFleetOptions } from './rests/rest-fleet.js';
-export type { RestOfOthers } from './rests/told-rests.js';
+export type { FleetArrival, TargetConduct, TargetReply } from './words/fleet-arrivals.js';
+export { fullestLimitWindows, rateAtLimit } from './words/limit-windows.js';
+export type { ArrivalAtLimit, LimitWindow } from './words/limit-windows.js';
+export { WordFleet } from './words/word-fleet.js';
+export type { WordFleetOptions } from './words/word-fleet.js';
+export type { RestOfOthers } from './words/told-rests.js';
 export { PausableClock, ProcessPause } from './process-pause.js';
 export { QuotaFleet } from './quotas/quota-fleet.js';
 export type { QuotaFleetOptions } from './quotas/quota-fleet.js';
--- a/packages/test-utils/src/rests/fleet-arrivals.ts
+++ b/packages/test-utils/src/words/fleet-arrivals.ts
@@ -1,3 +1,5 @@
+import type { ArrivalAtLimit } from './limit-windows.js';
+
 /** What a target does with a request. */
 export interface TargetReply {
   /** It turns the request away and wants none from this host for so long; 0 asks for nothing. */
@@ -48,6 +50,13 @@
     return Math.max(0, ...counts);
   }
 
+  /** What reached a target, with the limits that it named. */
+  atLimit(target: string): ArrivalAtLimit[] {
+    return this.all
+      .filter((arrival) => arrival.target === target)
+      .map(({ host, at, reply }) => ({ host, at, limitPerSecond: reply.limitPerSecond }));
+  }
+
   /** Requests that callers sent later than this after a target's first word to a host that it leaves, and that reached it. */
   sentAfterLeaving(afterMilliseconds: number): number {
     const saidAt = new Map<string, number>();
--- a/packages/test-utils/src/rests/rest-fleet.ts
+++ b/packages/test-utils/src/words/word-fleet.ts
@@ -19,9 +19,9 @@
 const FULL_PER_SLOT = 3;
 
 /** How a request ended for its caller. */
-export type RestFleetAnswer = 'answered' | 'refused';
+export type WordFleetAnswer = 'answered' | 'refused';
 
-export interface RestFleetOptions {
+export interface WordFleetOptions {
   readonly clock: Clock;
   readonly hosts: number;
   readonly domains: number;
@@ -58,13 +58,13 @@
  * hosts' part in the fleet, their choices and what they make of targets' words are the real ones; a request's way through
  * a host is emulated. All that is counted is counted at the targets.
  */
-export class RestFleet {
+export class WordFleet {
   readonly fleet: EntryFleet;
   readonly arrivals: FleetArrivals;
-  readonly answers: Record<RestFleetAnswer, number> = { answered: 0, refused: 0 };
+  readonly answers: Record<WordFleetAnswer, number> = { answered: 0, refused: 0 };
   /** Milliseconds from the request to its answer. */
   readonly times: number[] = [];
-  readonly #options: RestFleetOptions;
+  readonly #options: WordFleetOptions;
   readonly #random: Random;
   readonly #words = new Map<string, TargetWords>();
   readonly #loads = new Map<string, EmulatedLoad>();
@@ -72,7 +72,7 @@
   /** Requests that a host may have at a target that it comes back to, by host and target. */
   readonly #steps = new Map<string, number>();
 
-  constructor(options: RestFleetOptions) {
+  constructor(options: WordFleetOptions) {
     this.#options = options;
     this.#random = new SeededRandom(options.seed);
     this.fleet = new EntryFleet({
@@ -99,18 +99,27 @@
     return this.#service(this.fleet.hosts[index]);
   }
 
-  /** Requests for one object that come one after the other at random hosts, until a moment. */
-  async call(key: string, perSecond: number, until: number): Promise<void> {
+  /**
+   * Requests for one object that come one after the other, until a moment.
+   *
+   * @param hostAt - which host a request comes to; any of them where nothing is said
+   */
+  async call(
+    key: string,
+    perSecond: number,
+    until: number,
+    hostAt: (now: number) => number = () => randomIndex(this.#random, this.fleet.hosts.length),
+  ): Promise<void> {
     const { clock } = this.#options;
     const gap = MILLISECONDS_PER_SECOND / perSecond;
     while (clock.now() < until) {
       await clock.sleep(2 * gap * this.#random.next());
-      void this.ask(randomIndex(this.#random, this.fleet.hosts.length), key);
+      void this.ask(hostAt(clock.now()), key);
     }
   }
 
   /** One request of a caller at one host. */
-  async ask(index: number, key: string): Promise<RestFleetAnswer> {
+  async ask(index: number, key: string): Promise<WordFleetAnswer> {
     const host = this.fleet.hosts[index];
     const askedAt = this.#options.clock.now();
     const answer =
@@ -128,7 +137,7 @@
     return this.#options.wayMilliseconds ?? 1;
   }
 
-  async #forward(asked: Asked): Promise<RestFleetAnswer> {
+  async #forward(asked: Asked): Promise<WordFleetAnswer> {
     const service = this.#service(asked.host);
     const [route] = this.fleet.routes;
     if (service === undefined || route === undefined) {
