feat: a host's part of a limit that a target names for all hosts together, as a decision without a network

LimitPart: parts by what hosts asked for as the others know it by now (what was told less than 0.8 s ago counts for nothing), of the limit and of what is missing in the last window; no request beyond the window, as told; chance where much more is asked than there is room for.

What is told of use, and held where its host is silent, is one module for both kinds of shared limits now (PeerUsage, UsageByName).

--- a/packages/bench/src/quotas/baseline-ways.ts
+++ b/packages/bench/src/quotas/baseline-ways.ts
@@ -20,7 +20,7 @@
         used.add(mayRun ? 1 : 0);
         return mayRun;
       },
-      get told() {
+      tell: () => {
         return { used: used.total, askedPerSecond: asked.perSecond };
       },
     };
--- a/packages/bench/src/quotas/keeper-way.ts
+++ b/packages/bench/src/quotas/keeper-way.ts
@@ -25,7 +25,7 @@
         used.add(mayRun ? 1 : 0);
         return mayRun;
       },
-      told: { used: 0, askedPerSecond: 0 },
+      tell: () => ({ used: 0, askedPerSecond: 0 }),
     };
   };
 }
--- a/packages/entry/src/accounts/account-duty.ts
+++ b/packages/entry/src/accounts/account-duty.ts
@@ -1,6 +1,6 @@
 import { AccountQuotas, forgottenShare } from '@ferrylock/routing';
 import type {
-  AccountUsage,
+  UsageByName,
   ClientAccount,
   FleetKnowledge,
   QuotaBound,
@@ -9,9 +9,8 @@
 import type { Clock, Random } from '@ferrylock/utils';
 import type { EntryHostRecord } from '../fleet/fleet-record.js';
 import { largeHosts } from '../fleet/large-hosts.js';
-import { loadSource } from '../peers/load-source.js';
-import { startOf } from '../peers/told-fleet.js';
-import { PeerUsage } from './peer-usage.js';
+import { PeerUsage } from '../peers/peer-usage.js';
+import type { HostStart } from '../peers/peer-usage.js';
 
 /**
  * From the end of a process to the first request of the next one, at least: for so long nothing ran at
@@ -58,9 +57,6 @@
   readonly onRush: () => void;
 }
 
-/** Names one start of a host. */
-type HostStart = Pick<EntryHostRecord, 'name' | 'incarnation'>;
-
 /** Keeps client accounts to their limits, with what other hosts tell of their use. */
 export class AccountDuty {
   readonly quotas: AccountQuotas;
@@ -71,8 +67,6 @@
   #rushToldAt = -Infinity;
   /** Since when what ran anywhere is remembered by some host that is heard. */
   #rememberedSince: number;
-  /** The last start of each host that told of itself. */
-  readonly #sourceOfHost = new Map<string, string>();
   #hearsMost = false;
   #lookedAt = -Infinity;
   #blindShareOf: readonly EntryHostRecord[] | undefined;
@@ -118,18 +112,12 @@
   }
 
   /** Takes what a host tells of itself. */
-  takeHost(start: HostStart, told: AccountUsage | undefined, rememberedMilliseconds: number): void {
-    const source = loadSource.host(startOf(start));
-    const before = this.#sourceOfHost.get(start.name);
-    if (before !== undefined && before !== source) {
-      this.usage.end(before);
-    }
-    this.#sourceOfHost.set(start.name, source);
-    this.takeTold(source, told, rememberedMilliseconds);
+  takeHost(start: HostStart, told: UsageByName | undefined, rememberedMilliseconds: number): void {
+    this.takeTold(this.usage.sourceOf(start), told, rememberedMilliseconds);
   }
 
   /** Takes what a source of reports tells. */
-  takeTold(source: string, told: AccountUsage | undefined, rememberedMilliseconds: number): void {
+  takeTold(source: string, told: UsageByName | undefined, rememberedMilliseconds: number): void {
     const grown = Object.entries(told?.used ?? {}).filter(
       ([account, used]) => used > this.usage.usedOf(source, account) + 1,
     );
@@ -141,17 +129,13 @@
   }
 
   /** Takes what a relay tells of the whole fleet. */
-  takeFleet(
-    told: AccountUsage | undefined,
-    sequence: number,
-    rememberedMilliseconds: number,
-  ): void {
+  takeFleet(told: UsageByName | undefined, sequence: number, rememberedMilliseconds: number): void {
     this.usage.takeFleet(told, sequence);
     this.#takeNews(rememberedMilliseconds);
   }
 
   /** This host's own use, to be told under a number; what grew until now is told with it. */
-  report(sequence: number): AccountUsage {
+  report(sequence: number): UsageByName {
     const usage = this.usage.report(sequence);
     this.#toldTotal.clear();
     for (const account of Object.keys(usage.used)) {
--- a/packages/entry/src/peers/account-rows.ts
+++ b/packages/entry/src/peers/account-rows.ts
@@ -1,4 +1,4 @@
-import type { AccountUsage } from '@ferrylock/routing';
+import type { UsageByName } from '@ferrylock/routing';
 import { z } from 'zod';
 import { decodeRows, encodeRows } from './rows.js';
 
@@ -6,7 +6,7 @@
  * Use of accounts' limits as rows of text: account, requests in the window, requests a second. A row that
  * makes no sense is passed over: the other news of its message counts all the same.
  */
-export const accountUsageSchema = z.string().transform((text): AccountUsage => {
+export const accountUsageSchema = z.string().transform((text): UsageByName => {
   const used: Record<string, number> = {};
   const asked: Record<string, number> = {};
   for (const [account = '', usedText = '', askedText = ''] of decodeRows(text)) {
@@ -20,7 +20,7 @@
 });
 
 /** The form that {@link accountUsageSchema} reads; empty at rest. */
-export function encodeAccountUsage({ used, asked }: AccountUsage): string {
+export function encodeAccountUsage({ used, asked }: UsageByName): string {
   const accounts = new Set([...Object.keys(used), ...Object.keys(asked)]);
   return encodeRows(
     [...accounts].map((account) => [
--- a/packages/entry/src/peers/message-writer.ts
+++ b/packages/entry/src/peers/message-writer.ts
@@ -1,4 +1,4 @@
-import type { AccountUsage } from '@ferrylock/routing';
+import type { UsageByName } from '@ferrylock/routing';
 import type { Clock } from '@ferrylock/utils';
 import { createJSONRPCNotification } from 'json-rpc-2.0';
 import type { AccountDuty } from '../accounts/account-duty.js';
@@ -46,7 +46,7 @@
   readonly #options: MessageWriterOptions;
   #sequence = 0;
   #inFlight: InFlight = {};
-  #usage: AccountUsage = { used: {}, asked: {} };
+  #usage: UsageByName = { used: {}, asked: {} };
   #toldAnswerAt = -Infinity;
 
   constructor(options: MessageWriterOptions) {
@@ -157,7 +157,7 @@
     return fellows.map(({ name, sequence }) => [name, sequence]);
   }
 
-  #knowledge(inFlight: InFlight, usage: AccountUsage): Record<string, unknown> {
+  #knowledge(inFlight: InFlight, usage: UsageByName): Record<string, unknown> {
     const { view, answers, own, accounts } = this.#options;
     const { newest } = answers;
     const accountRows = encodeAccountUsage(usage);
--- a/packages/entry/src/accounts/peer-usage.ts
+++ b/packages/entry/src/peers/peer-usage.ts
@@ -1,9 +1,11 @@
 import { HeldCounts } from '@ferrylock/routing';
-import type { AccountUsage, OthersUsage } from '@ferrylock/routing';
+import type { UsageByName, OthersUsage } from '@ferrylock/routing';
 import type { Clock } from '@ferrylock/utils';
-import { addCounts, withoutCounts } from '../peers/counts.js';
-import { loadSource } from '../peers/load-source.js';
-import { SILENCE_MILLISECONDS } from '../peers/peer-table.js';
+import type { EntryHostRecord } from '../fleet/fleet-record.js';
+import { addCounts, withoutCounts } from './counts.js';
+import { loadSource } from './load-source.js';
+import { SILENCE_MILLISECONDS } from './peer-table.js';
+import { startOf } from './told-fleet.js';
 
 /** Own reports that are kept until a relay has counted them in. */
 const KEPT_REPORTS = 16;
@@ -11,33 +13,38 @@
 /** A sum over sources holds for this long: far less than the time that news takes. */
 const REMEMBERED_MILLISECONDS = 50;
 
-const NOTHING: AccountUsage = { used: {}, asked: {} };
+const NOTHING: UsageByName = { used: {}, asked: {} };
 
 /** What a source asked for last. */
 interface ToldAsked {
-  readonly asked: AccountUsage['asked'];
+  readonly asked: UsageByName['asked'];
   readonly toldAt: number;
 }
 
+/** Names one start of a host. */
+export type HostStart = Pick<EntryHostRecord, 'name' | 'incarnation'>;
+
 export interface PeerUsageOptions {
   readonly clock: Clock;
   readonly windowMilliseconds: number;
   /** This host's own use now. */
-  readonly own: () => AccountUsage;
+  readonly own: () => UsageByName;
 }
 
 /**
- * Use of accounts' limits by other entry hosts. It travels with what hosts tell of targets' loads, and like
- * there a source is a host, another failure domain, or the whole fleet.
+ * Use of limits that all entry hosts share, by the other ones: of accounts' limits, or of those that targets name. It travels
+ * with what hosts tell of targets' loads, and like there a source is a host, another failure domain, or the whole fleet.
  */
 export class PeerUsage {
   readonly #options: PeerUsageOptions;
   readonly #used: HeldCounts;
   readonly #asked = new Map<string, ToldAsked>();
+  /** The last start of each host that told of itself. */
+  readonly #sourceOfHost = new Map<string, string>();
   /** Sums that were made a moment ago. */
   readonly #others = new Map<string, OthersUsage & { readonly at: number }>();
   /** This host's last reports, by their number. */
-  readonly #reported = new Map<number, AccountUsage>();
+  readonly #reported = new Map<number, UsageByName>();
 
   constructor(options: PeerUsageOptions) {
     this.#options = options;
@@ -45,14 +52,25 @@
   }
 
   /** This host's own use now, to be reported under a number. */
-  report(sequence: number): AccountUsage {
+  report(sequence: number): UsageByName {
     const usage = this.#options.own();
     this.#reported.set(sequence, usage);
     this.#reported.delete(sequence - KEPT_REPORTS);
     return usage;
   }
 
-  take(source: string, usage: AccountUsage = NOTHING): void {
+  /** How a host's present process is named as a source. What its former one used counts for a window more. */
+  sourceOf(start: HostStart): string {
+    const source = loadSource.host(startOf(start));
+    const before = this.#sourceOfHost.get(start.name);
+    if (before !== undefined && before !== source) {
+      this.#end(before);
+    }
+    this.#sourceOfHost.set(start.name, source);
+    return source;
+  }
+
+  take(source: string, usage: UsageByName = NOTHING): void {
     this.#used.take(source, usage.used);
     this.#asked.set(source, { asked: usage.asked, toldAt: this.#options.clock.now() });
   }
@@ -62,8 +80,7 @@
     return this.#used.lastOf(source, account);
   }
 
-  /** A source's process has ended. */
-  end(source: string): void {
+  #end(source: string): void {
     this.#used.end(source);
     this.#asked.delete(source);
   }
@@ -73,7 +90,7 @@
    *
    * @param sequence - the report of this host that is counted in
    */
-  takeFleet(usage: AccountUsage = NOTHING, sequence: number): void {
+  takeFleet(usage: UsageByName = NOTHING, sequence: number): void {
     const own = this.#reported.get(sequence) ?? NOTHING;
     this.take(loadSource.fleet, {
       used: withoutCounts(usage.used, own.used),
@@ -82,7 +99,7 @@
   }
 
   /** What all sources of a kind told, together with more. */
-  sum(isCounted: (source: string) => boolean, more: AccountUsage): AccountUsage {
+  sum(isCounted: (source: string) => boolean, more: UsageByName): UsageByName {
     const used = this.#used.sum(isCounted);
     addCounts(used, more.used);
     const asked: Record<string, number> = { ...more.asked };
@@ -123,6 +140,7 @@
   /** To be called a few times a second. */
   sweep(): void {
     this.#used.sweep();
+    this.#forgetSums();
     const oldest = this.#options.clock.now() - SILENCE_MILLISECONDS;
     for (const [source, { toldAt }] of this.#asked) {
       if (toldAt < oldest) {
@@ -131,6 +149,16 @@
     }
   }
 
+  /** Names come and go with starts of targets. */
+  #forgetSums(): void {
+    const oldest = this.#options.clock.now() - this.#options.windowMilliseconds;
+    for (const [name, { at }] of this.#others) {
+      if (at < oldest) {
+        this.#others.delete(name);
+      }
+    }
+  }
+
   #askedOf(account: string, isCounted: (source: string) => boolean): number {
     let total = 0;
     for (const [source, { asked }] of this.#asked) {
--- a/packages/routing/src/accounts/account-quotas.ts
+++ b/packages/routing/src/accounts/account-quotas.ts
@@ -3,15 +3,15 @@
 import type { FleetKnowledge, OthersUsage, QuotaBound, QuotaRefusal } from './account-quota.js';
 import type { ClientAccount } from './client-account.js';
 
-/** Requests by account. */
-export type AccountCounts = Readonly<Record<string, number>>;
+/** Requests by what they count for: an account, or a start of a target. */
+export type CountsByName = Readonly<Record<string, number>>;
 
-/** One host's use of accounts' limits, as it tells others. */
-export interface AccountUsage {
+/** One host's use of limits that all hosts share, as it tells others. */
+export interface UsageByName {
   /** Requests that it let run in the last window. */
-  readonly used: AccountCounts;
+  readonly used: CountsByName;
   /** Requests a second that came to it. */
-  readonly asked: AccountCounts;
+  readonly asked: CountsByName;
 }
 
 export interface AccountQuotasOptions {
@@ -91,7 +91,7 @@
   }
 
   /** What this host has used and is asked for; accounts without any are left out. */
-  get usage(): AccountUsage {
+  get usage(): UsageByName {
     const used: Record<string, number> = {};
     const asked: Record<string, number> = {};
     for (const name of this.#active) {
--- a/packages/routing/src/accounts/held-counts.ts
+++ b/packages/routing/src/accounts/held-counts.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '@ferrylock/utils';
-import type { AccountCounts } from './account-quotas.js';
+import type { CountsByName } from './account-quotas.js';
 
 /**
  * How far a count may fall at once before its source has rather forgotten: as many standard deviations of
@@ -16,7 +16,7 @@
 
 /** What one source told. */
 interface Source {
-  counts: AccountCounts;
+  counts: CountsByName;
   readonly forgotten: Map<string, Forgotten>;
   toldAt: number;
   /** Its process has ended: nothing comes on top. */
@@ -39,7 +39,7 @@
     this.#windowMilliseconds = windowMilliseconds;
   }
 
-  take(name: string, told: AccountCounts): void {
+  take(name: string, told: CountsByName): void {
     const now = this.#clock.now();
     const source = this.#sources.get(name) ?? newSource(now);
     this.#sources.set(name, source);
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -6,11 +6,7 @@
   QuotaRefusal,
 } from './accounts/account-quota.js';
 export { AccountQuotas } from './accounts/account-quotas.js';
-export type {
-  AccountCounts,
-  AccountQuotasOptions,
-  AccountUsage,
-} from './accounts/account-quotas.js';
+export type { CountsByName, AccountQuotasOptions, UsageByName } from './accounts/account-quotas.js';
 export { forgottenShare } from './accounts/forgotten-share.js';
 export { HeldCounts } from './accounts/held-counts.js';
 export { AccountTable } from './accounts/account-table.js';
@@ -66,6 +62,8 @@
 export type { TargetStart } from './target-start.js';
 export { TargetState } from './target-state.js';
 export { TargetWord } from './target-word.js';
+export { LIMIT_WINDOW_MILLISECONDS, LimitPart } from './limits/limit-part.js';
+export type { LimitSight } from './limits/limit-part.js';
 export { LimitWord } from './limits/limit-word.js';
 export type { HeardLimit } from './limits/limit-word.js';
 export { ColdGate } from './cold-gate.js';
--- /dev/null
+++ b/packages/routing/src/limits/limit-part.ts
@@ -0,0 +1,174 @@
+import type { Clock, Random } from '@ferrylock/utils';
+import type { OthersUsage } from '../accounts/account-quota.js';
+import { SlidingCount } from '../sliding-count.js';
+import { RecentRate } from './recent-rate.js';
+
+/** Stretch in which no more is to reach a target than it named, in milliseconds. */
+export const LIMIT_WINDOW_MILLISECONDS = 4_000;
+const WINDOW_SECONDS = LIMIT_WINDOW_MILLISECONDS / 1_000;
+const BUCKETS = 80;
+/** Time in which what one host tells comes to be known to all. */
+const SPREAD_MILLISECONDS = 800;
+/** Part of the room in a window that is taken up in a second, beside what the limit brings in it. */
+const CATCH_UP_PER_SECOND = 1;
+/** Requests that a host may save up, as time at its rate: callers do not come evenly. */
+const SAVED_SECONDS = 0.2;
+/** Age of news on average. */
+const UNHEARD_MILLISECONDS = 500;
+/** How many times the room may be asked for in that time before chance decides. */
+const RUSH = 3;
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** What one host knows of a target's limit when a request comes. */
+export interface LimitSight {
+  /** All other hosts, as told last. */
+  readonly others: OthersUsage;
+  /** Part of the registered hosts, this one included, that is heard: the others may use as much of the limit unseen. */
+  readonly heardShare: number;
+  readonly hosts: number;
+  /** This host's place among all hosts for this target, from 0; all hosts come to the same order. */
+  readonly place: () => number;
+}
+
+/** What a host told of what its callers want. */
+interface ToldAsked {
+  readonly at: number;
+  readonly perSecond: number;
+}
+
+/**
+ * One host's part of the limit that a target named for all hosts together. It is as large as its part of what all hosts' callers
+ * want of the target, but no larger than others know by now: what it told itself that short a time ago counts for nothing,
+ * so that the parts of all hosts add up to the limit also while callers move or come in a rush. Requests that are missing
+ * in the last window, as others tell, are caught up; none is sent that would be too many in it.
+ */
+export class LimitPart {
+  perSecond: number;
+  readonly #clock: Clock;
+  readonly #random: Random;
+  readonly #used: SlidingCount;
+  readonly #asked: RecentRate;
+  readonly #refused: SlidingCount;
+  #told: ToldAsked[] = [];
+  /** Requests that may be sent, in parts of one. */
+  #saved: number;
+  #reckonedAt: number;
+
+  constructor(clock: Clock, random: Random, perSecond: number) {
+    this.#clock = clock;
+    this.#random = random;
+    this.perSecond = perSecond;
+    const covered = (LIMIT_WINDOW_MILLISECONDS * BUCKETS) / (BUCKETS - 1);
+    this.#used = new SlidingCount(clock, covered, BUCKETS);
+    this.#asked = new RecentRate(clock);
+    this.#refused = new SlidingCount(clock, SPREAD_MILLISECONDS);
+    // Hosts that hear of a limit together would otherwise send together.
+    this.#saved = random.next();
+    this.#reckonedAt = clock.now();
+  }
+
+  /** Requests of this host in the last window. */
+  get used(): number {
+    return this.#used.total;
+  }
+
+  /** Requests a second that this host would send, were there no limit. */
+  get askedPerSecond(): number {
+    return this.#asked.perSecond;
+  }
+
+  /** What is told to others now. */
+  tell(sight: LimitSight): OthersUsage {
+    this.#reckon(sight);
+    const at = this.#clock.now();
+    const perSecond = this.askedPerSecond;
+    this.#told.push({ at, perSecond });
+    const firstKept = this.#told.findLastIndex((told) => told.at <= at - SPREAD_MILLISECONDS);
+    this.#told.splice(0, Math.max(0, firstKept));
+    return { used: this.used, askedPerSecond: perSecond };
+  }
+
+  /** Lets a request be sent, or does not. */
+  take(sight: LimitSight): boolean {
+    this.#asked.record();
+    this.#reckon(sight);
+    if (this.#saved < 1 || !this.#isInRoom(sight)) {
+      this.#refused.add();
+      return false;
+    }
+    this.#saved--;
+    this.#used.add();
+    return true;
+  }
+
+  /** A request that was let be sent was not. */
+  giveBack(): void {
+    this.#saved++;
+    this.#used.add(-1);
+  }
+
+  /** Requests a second that this host may send. */
+  ratePerSecond(sight: LimitSight): number {
+    const limit = this.perSecond * sight.heardShare;
+    const pool = limit + CATCH_UP_PER_SECOND * Math.max(0, this.#room(sight));
+    const { askedPerSecond } = sight.others;
+    const claim = sight.hosts === 1 ? this.askedPerSecond : this.#claim;
+    const wanted = Math.min(1, (askedPerSecond + claim) / limit);
+    const byAsked = claim === 0 ? 0 : (wanted * claim) / (claim + askedPerSecond);
+    return pool * (byAsked + (1 - wanted) * this.#shareUnasked(sight, (1 - wanted) * limit));
+  }
+
+  /** Until a request may be sent that comes after those that were refused lately, in milliseconds. */
+  waitMilliseconds(sight: LimitSight): number {
+    this.#reckon(sight);
+    const missing = Math.max(0, 1 - this.#saved) + Math.max(0, this.#refused.total - 1);
+    const bySaved = missing / Math.max(this.ratePerSecond(sight), this.perSecond / sight.hosts);
+    const byRoom = this.#room(sight) <= 0 ? 1 / this.perSecond : 0;
+    return MILLISECONDS_PER_SECOND * Math.max(bySaved, byRoom);
+  }
+
+  /** Requests that may reach the target in this window yet, as far as this host knows. */
+  #room({ others, heardShare }: LimitSight): number {
+    const most = Math.max(1, heardShare * this.perSecond * WINDOW_SECONDS);
+    return most - others.used - this.used;
+  }
+
+  /**
+   * Whether there is room, by chance where far more is asked than there is room for: hosts that have saved up would all
+   * send before they hear of each other.
+   */
+  #isInRoom(sight: LimitSight): boolean {
+    const room = this.#room(sight);
+    const askedPerSecond = sight.others.askedPerSecond + this.askedPerSecond;
+    const askedUnheard = (askedPerSecond * UNHEARD_MILLISECONDS) / MILLISECONDS_PER_SECOND;
+    return room > 0 && this.#random.next() * askedUnheard < RUSH * (room + 1);
+  }
+
+  /** What this host's callers want, as far as all others know it. */
+  get #claim(): number {
+    const [first] = this.#told;
+    const isKnown = first !== undefined && first.at <= this.#clock.now() - SPREAD_MILLISECONDS;
+    return isKnown
+      ? Math.min(this.askedPerSecond, ...this.#told.map(({ perSecond }) => perSecond))
+      : 0;
+  }
+
+  /**
+   * This host's part of what nobody asks for, so that callers who just came are served. So many hosts have one that
+   * each has at least a request in a window: all may use it at once.
+   */
+  #shareUnasked({ hosts, place }: LimitSight, perSecond: number): number {
+    const holders = Math.max(1, Math.min(hosts, Math.floor(perSecond * WINDOW_SECONDS)));
+    return holders === hosts || place() < holders ? 1 / holders : 0;
+  }
+
+  #reckon(sight: LimitSight): void {
+    const now = this.#clock.now();
+    const seconds = (now - this.#reckonedAt) / MILLISECONDS_PER_SECOND;
+    const rate = this.ratePerSecond(sight);
+    const most = Math.max(1, SAVED_SECONDS * rate);
+    this.#saved = Math.max(this.#saved, Math.min(most, this.#saved + seconds * rate));
+    this.#saved = Math.min(this.#saved, most);
+    this.#reckonedAt = now;
+  }
+}
--- /dev/null
+++ b/packages/routing/tests/limits/recent-rate.test.ts
@@ -0,0 +1,42 @@
+import { FakeClock } from '@ferrylock/test-utils';
+import { describe, expect, it } from 'vitest';
+import { RecentRate } from '../../src/limits/recent-rate.js';
+
+async function rateAfter(count: number, gapMilliseconds: number): Promise<number> {
+  const clock = new FakeClock();
+  const rate = new RecentRate(clock);
+  for (let request = 0; request < count; request++) {
+    await clock.advance(gapMilliseconds);
+    rate.record();
+  }
+  await clock.advance(gapMilliseconds);
+  return rate.perSecond;
+}
+
+describe('RecentRate', () => {
+  it.each([
+    [100, 10, 100],
+    [100, 1_000, 1],
+    [100, 20_000, 0.05],
+  ])('tells %i requests with %i ms between them as %d a second', async (count, gap, perSecond) => {
+    expect(await rateAfter(count, gap)).toBeCloseTo(perSecond);
+  });
+
+  it('takes few requests to have come in four seconds at least', async () => {
+    expect(await rateAfter(2, 10)).toBe(0.5);
+  });
+
+  it('falls once nobody asks any more, and forgets after a minute', async () => {
+    const clock = new FakeClock();
+    const rate = new RecentRate(clock);
+    for (let request = 0; request < 8; request++) {
+      rate.record();
+      await clock.advance(100);
+    }
+    const busy = rate.perSecond;
+    await clock.advance(2_000);
+    expect(rate.perSecond).toBeLessThan(busy / 3);
+    await clock.advance(60_000);
+    expect(rate.perSecond).toBe(0);
+  });
+});
--- a/packages/test-utils/src/index.ts
+++ b/packages/test-utils/src/index.ts
@@ -39,3 +39,4 @@
 export type { QuotaFleetOptions } from './quotas/quota-fleet.js';
 export type { MakeQuotaWay, QuotaSight, QuotaWay, QuotaWayOptions } from './quotas/quota-way.js';
 export { toldUse } from './quotas/told-use.js';
+export { partOfLimit } from './quotas/part-of-limit.js';
--- a/packages/test-utils/src/quotas/quota-fleet.ts
+++ b/packages/test-utils/src/quotas/quota-fleet.ts
@@ -71,6 +71,8 @@
   #starts = 0;
   #weights: readonly number[] = [];
   #perSecond = 0;
+  /** Part of the hosts that told of themselves lately. */
+  #toldShare = 1;
 
   constructor(options: QuotaFleetOptions) {
     this.#options = options;
@@ -183,7 +185,9 @@
   }
 
   #takeSnapshot(): void {
-    const ofHosts = this.#hosts.map((host) => this.#toldBy(host));
+    const told = this.#hosts.filter(({ toldAt }) => this.#now - toldAt <= SILENCE_MILLISECONDS);
+    this.#toldShare = Math.max(1, told.length) / this.#hosts.length;
+    const ofHosts = this.#hosts.map((host, index) => this.#toldBy(index, host));
     for (const [index, { isDown, isCut, source }] of this.#hosts.entries()) {
       if (!isDown && !isCut) {
         this.#held.take(source, { [ACCOUNT]: ofHosts[index]?.used ?? 0 });
@@ -198,9 +202,9 @@
   }
 
   /** What a host tells, or has told last; of one that is silent for long only its use is kept. */
-  #toldBy(host: EmulatedHost): ToldUsage {
+  #toldBy(index: number, host: EmulatedHost): ToldUsage {
     if (!host.isDown && !host.isCut) {
-      host.lastTold = host.way.told;
+      host.lastTold = host.way.tell(this.#sightOf(index, host));
       host.toldAt = this.#now;
     }
     return this.#now - host.toldAt <= SILENCE_MILLISECONDS ? host.lastTold : NOTHING;
@@ -229,7 +233,7 @@
     const expected =
       (this.#perSecond * (this.#weights[index] ?? 0) * STEP_MILLISECONDS) / MILLISECONDS_PER_SECOND;
     for (let count = this.#drawCount(expected); count > 0 && !host.isDown; count--) {
-      if (host.way.take(this.#sightOf(host))) {
+      if (host.way.take(this.#sightOf(index, host))) {
         this.ran.push(this.#now);
       } else {
         this.refused++;
@@ -237,7 +241,13 @@
     }
   }
 
-  #sightOf(host: EmulatedHost) {
+  /** What is silent for long counts as not heard, whether it is cut off or ended. */
+  #heardShare(host: EmulatedHost): number {
+    const isDeaf = this.#now - host.heardAt > SILENCE_MILLISECONDS;
+    return isDeaf ? 1 / this.#hosts.length : this.#toldShare;
+  }
+
+  #sightOf(place: number, host: EmulatedHost) {
     const { windowMilliseconds } = this.#options.bound;
     const remembered = this.#now - host.rememberedSince + DOWN_MILLISECONDS;
     const deafMilliseconds = this.#now - host.heardAt;
@@ -245,6 +255,9 @@
     return {
       others: host.told,
       askedHosts,
+      hosts: this.#hosts.length,
+      place,
+      heardShare: this.#heardShare(host),
       fleet: {
         isAlone: this.#hosts.length === 1,
         deafMilliseconds,
--- a/packages/test-utils/src/quotas/quota-way.ts
+++ b/packages/test-utils/src/quotas/quota-way.ts
@@ -14,6 +14,11 @@
   readonly fleet: FleetKnowledge;
   /** Hosts that have callers of the account. */
   readonly askedHosts: number;
+  readonly hosts: number;
+  /** This host's place among them, from 0. */
+  readonly place: number;
+  /** Part of the hosts, this one included, that it hears. */
+  readonly heardShare: number;
 }
 
 /** One way of keeping an account's limit over many hosts; one object for each host's process. */
@@ -21,7 +26,8 @@
   setAccount(account: ClientAccount): void;
   /** Whether a request may run. */
   take(sight: QuotaSight): boolean;
-  readonly told: ToldUsage;
+  /** What it tells others now. */
+  tell(sight: QuotaSight): ToldUsage;
 }
 
 export interface QuotaWayOptions {
--- a/packages/test-utils/src/quotas/told-use.ts
+++ b/packages/test-utils/src/quotas/told-use.ts
@@ -9,8 +9,6 @@
       quota.account = changed;
     },
     take: ({ others, fleet }) => quota.take(others, fleet) === undefined,
-    get told() {
-      return { used: quota.used, askedPerSecond: quota.askedPerSecond };
-    },
+    tell: () => ({ used: quota.used, askedPerSecond: quota.askedPerSecond }),
   };
 };
