--- a/packages/test-utils/src/target-stand-in.ts
+++ b/packages/test-utils/src/target-stand-in.ts
@@ -36,11 +36,15 @@
   reportedLoad: number | undefined;
   /** What it says with each request that it sheds: seconds in which it wants no more. */
   rest: string | undefined;
+  /** Requests a second that its answers name, from all daemons together. */
+  limit: string | undefined;
   /** Probes that arrived, and how long each waits for its answer, which tells of the moment of its arrival. */
   probes = 0;
   probeMilliseconds = 0;
   /** Requests that arrived, whatever was done with them, apart from probes. */
   timesMet = 0;
+  /** When each of these arrived, as `performance.now()` gives it. */
+  readonly arrivedAt: number[] = [];
   /** Requests begun, apart from probes. */
   requests = 0;
   /** Most requests at a time. */
@@ -107,6 +111,9 @@
     if (this.leaving) {
       response.setHeader('ferrylock-leaving', '1');
     }
+    if (this.limit !== undefined) {
+      response.setHeader('ferrylock-limit', this.limit);
+    }
     if (request.url === '/health') {
       this.probes++;
       await new Promise((resolve) => setTimeout(resolve, this.probeMilliseconds));
@@ -114,6 +121,7 @@
       return;
     }
     this.timesMet++;
+    this.arrivedAt.push(performance.now());
     if (this.behaviour === 'resetBeforeReading') {
       request.socket.destroy();
       return;
