fix: daemons of ferrylockd together send a target no more than the limit that it names

What targets saw: one that named 2 requests a second got 69 in 4 s from one daemon and 274 from three, where 17 are borne; where it was the only one, 20 of 20 at once.

A probe that says nothing of a limit lifts none.

--- a/packages/daemon/src/components.ts
+++ b/packages/daemon/src/components.ts
@@ -120,7 +120,7 @@
   });
   const suspects = new SuspectWatch({ clock, logger, membership, checkConnection });
   membership.addParticipant(suspects);
-  const words = new TargetWords({ clock, logger });
+  const words = new TargetWords({ clock, logger, allotment: rates });
   const requestPath = new RequestPath({
     words,
     suspects,
--- a/packages/daemon/src/http/headers.ts
+++ b/packages/daemon/src/http/headers.ts
@@ -13,13 +13,20 @@
 export const SHED_HEADER = 'ferrylock-shed';
 /** On a target's answer: it is about to stop and wants no new work. */
 export const LEAVING_HEADER = 'ferrylock-leaving';
+/** On a target's answer: requests a second that it takes from all daemons together. */
+export const LIMIT_HEADER = 'ferrylock-limit';
 /** On a target's answer: its load, in the ORCA JSON form. */
 export const LOAD_REPORT_HEADER = 'endpoint-load-metrics';
 /** Names one request in logs, and towards the target. */
 export const REQUEST_ID_HEADER = 'ferrylock-request-id';
 
 const OWN_REQUEST_HEADERS = new Set([FORWARDED_HEADER, TIMEOUT_HEADER]);
-const OWN_RESPONSE_HEADERS = new Set([LOAD_REPORT_HEADER, LEAVING_HEADER, SHED_HEADER]);
+const OWN_RESPONSE_HEADERS = new Set([
+  LOAD_REPORT_HEADER,
+  LEAVING_HEADER,
+  LIMIT_HEADER,
+  SHED_HEADER,
+]);
 
 /** A request's headers as they go to the target, with those that ferrylock adds. */
 export function requestHeaders(
--- a/packages/daemon/src/request/attempt.ts
+++ b/packages/daemon/src/request/attempt.ts
@@ -53,6 +53,7 @@
   #abortedBy: AttemptAborted | undefined;
   #status = 0;
   #shed = false;
+  readonly #sentAt: number;
   #isUnwanted = false;
   #answering = false;
   #flow: FlowControl | undefined;
@@ -64,6 +65,7 @@
     this.verdict = new Promise((resolve) => {
       this.#settle = resolve;
     });
+    this.#sentAt = options.words.now();
     if (options.target !== undefined) {
       options.words.recordSend(options.target);
     }
@@ -110,7 +112,7 @@
         target.leaving = true;
         target.saidLeaving++;
       }
-      words.take(target, status, headers);
+      words.take(target, status, headers, this.#sentAt);
     }
     if (status === 503 && headers[SHED_HEADER] === SHED_VALUE) {
       this.#shed = true;
--- a/packages/daemon/src/services/account-runtime.ts
+++ b/packages/daemon/src/services/account-runtime.ts
@@ -75,7 +75,7 @@
       }
     }
     for (const service of services) {
-      limits.push(...service.slotLimits());
+      limits.push(...service.dividedLimits());
     }
     return limits;
   }
--- a/packages/daemon/src/services/service-runtime.ts
+++ b/packages/daemon/src/services/service-runtime.ts
@@ -1,3 +1,4 @@
+import { RATE_UNITS } from '@ferrylock/control';
 import type { AllotmentLedger, DividedLimit, SlotBorrower, SlotLoans } from '@ferrylock/control';
 import type { Declaration, Drain, ServiceDeclaration } from '@ferrylock/schema';
 import type { DistanceMap, LinkLimits, Place } from '@ferrylock/steering';
@@ -13,7 +14,7 @@
 import type { Clock, Random } from '@ferrylock/utils';
 
 const MILLISECONDS_PER_SECOND = 1_000;
-/** When a caller may ask again of a service whose targets are closed for another reason than rest. */
+/** When a caller may ask again of a service whose targets are closed for another reason than their own word. */
 const CLOSED_SECONDS = 1;
 
 export interface ServiceRuntimeOptions {
@@ -62,7 +63,7 @@
       book: this.#book,
       clock,
       hasOpenTarget: () => this.targets.open(clock.now()).length > 0,
-      opensInSeconds: () => opensInSeconds(this.targets.restMilliseconds(clock.now())),
+      opensInSeconds: () => opensInSeconds(this.targets.waitMilliseconds(clock.now())),
       onShortage: () => {
         options.slotLoans.want(account, service);
       },
@@ -106,13 +107,12 @@
     this.gate.pump();
   }
 
-  /** The slots of each target as limits that all daemons divide between them. */
-  slotLimits(): DividedLimit[] {
-    return this.targets.all().map((target) => ({
-      key: target.limitKey,
-      units: this.targets.slotsOf(target.name),
-      place: target.place.region,
-    }));
+  /** What all daemons divide between them: the slots of each target, and the requests a second that it may name. */
+  dividedLimits(): DividedLimit[] {
+    return this.targets.all().flatMap(({ limitKey, namedLimitKey, name, place }) => [
+      { key: limitKey, units: this.targets.slotsOf(name), place: place.region },
+      { key: namedLimitKey, units: RATE_UNITS, place: place.region },
+    ]);
   }
 
   limitKey(target: string): string {
@@ -145,11 +145,11 @@
   }
 }
 
-/** Callers are told whole seconds, and not to come before a rest ends. */
-function opensInSeconds(restMilliseconds: number | undefined): number {
-  return restMilliseconds === undefined
+/** Callers are told whole seconds, and not to come before a target wants work. */
+function opensInSeconds(waitMilliseconds: number | undefined): number {
+  return waitMilliseconds === undefined
     ? CLOSED_SECONDS
-    : Math.ceil(restMilliseconds / MILLISECONDS_PER_SECOND);
+    : Math.ceil(waitMilliseconds / MILLISECONDS_PER_SECOND);
 }
 
 /** The cap on how fast the service's traffic may move; the lowest where several are declared. */
--- a/packages/daemon/src/services/target-prober.ts
+++ b/packages/daemon/src/services/target-prober.ts
@@ -88,7 +88,8 @@
         signal: AbortSignal.timeout(TIMEOUT_MILLISECONDS),
       });
       await response.body.dump();
-      words.take(target, response.statusCode, response.headers);
+      // What answers probes may know nothing of a limit: silence there does not lift one.
+      words.take(target, response.statusCode, response.headers, -Infinity);
       const leaving =
         response.headers[LEAVING_HEADER] !== undefined || target.saidLeaving > saidBefore;
       if (target.leaving && !leaving) {
--- a/packages/steering/src/index.ts
+++ b/packages/steering/src/index.ts
@@ -17,7 +17,7 @@
 export { ShiftLimiter } from './placement/shift-limiter.js';
 export type { RegionShares } from './placement/shift-limiter.js';
 export { RetryBudget } from './retries/retry-budget.js';
-export { slotLimitKey } from './targets/slot-allotment.js';
+export { namedLimitKey, slotLimitKey } from './targets/slot-allotment.js';
 export type { SlotAllotment } from './targets/slot-allotment.js';
 export { SlotBook } from './targets/slot-book.js';
 export { Target } from './targets/target.js';
--- a/packages/steering/src/targets/slot-allotment.ts
+++ b/packages/steering/src/targets/slot-allotment.ts
@@ -6,6 +6,11 @@
   lendable(limit: string): number;
 }
 
+/** The key under which the requests a second that a target names are divided between daemons. */
+export function namedLimitKey(account: string, service: string, target: string): string {
+  return `named/${account}/${service}/${target}`;
+}
+
 /** The key under which a target's slots are divided between daemons. */
 export function slotLimitKey(account: string, service: string, target: string): string {
   return `slots/${account}/${service}/${target}`;
--- a/packages/steering/src/targets/slot-book.ts
+++ b/packages/steering/src/targets/slot-book.ts
@@ -43,6 +43,7 @@
    */
   take(deadlineAt: number, accept: (target: Target) => boolean): Target | undefined {
     const now = this.#options.clock.now();
+    this.#options.targets.recordDemand();
     const candidates: Candidate[] = [];
     for (const target of this.#options.targets.open(now)) {
       const free = this.#freeSlots(target, deadlineAt);
@@ -52,6 +53,7 @@
     }
     const chosen = this.#chooseNearest(candidates);
     if (chosen !== undefined) {
+      chosen.limit?.take(1);
       chosen.inFlight++;
       chosen.lastUsedAt = now;
     }
--- a/packages/steering/src/targets/target-set.ts
+++ b/packages/steering/src/targets/target-set.ts
@@ -1,7 +1,7 @@
 import type { Declaration, Drain, TargetDeclaration } from '@ferrylock/schema';
 import type { DistanceMap } from '../lookup/distance-map.js';
 import { effectiveSlots } from './effective-slots.js';
-import { slotLimitKey } from './slot-allotment.js';
+import { namedLimitKey, slotLimitKey } from './slot-allotment.js';
 import { Target } from './target.js';
 
 /** Share of a service's targets that may be ejected before the signal itself is doubted. */
@@ -63,11 +63,13 @@
 
   /**
    * Targets that may be given new work. When more than half of those not drained seem sick, the fault
-   * is more likely in what this daemon sees than in all of them, and none is left out; but for one that asked for rest,
-   * which says so itself.
+   * is more likely in what this daemon sees than in all of them, and none is left out; but for one that asked for rest, or
+   * named a limit that is used up, which say so themselves.
    */
   open(now: number): Target[] {
-    const inUse = this.all().filter((target) => this.#isInUse(target) && !target.isResting(now));
+    const inUse = this.all().filter(
+      (target) => this.#isInUse(target) && !target.isResting(now) && !target.isAtLimit,
+    );
     const ejected = inUse.filter((target) => target.isEjected(now));
     if (ejected.length > inUse.length * LARGEST_EJECTED_SHARE) {
       return inUse;
@@ -75,17 +77,34 @@
     return inUse.filter((target) => target.isOpen(now));
   }
 
-  /** How long until the first of those that rest wants work, in milliseconds; undefined where none in use rests. */
-  restMilliseconds(now: number): number | undefined {
-    const rests = this.all()
-      .filter((target) => this.#isInUse(target) && target.isResting(now))
-      .map(({ word }) => word.restsUntil - now);
-    return rests.length === 0 ? undefined : Math.min(...rests);
+  /**
+   * How long until the first of those wants work that rest, or have their limit used up, in milliseconds; undefined where none in
+   * use does.
+   */
+  waitMilliseconds(now: number): number | undefined {
+    const waits = this.all()
+      .filter((target) => this.#isInUse(target) && (target.isResting(now) || target.isAtLimit))
+      .map(({ word, limit }) => Math.max(word.restsUntil - now, limit?.waitMilliseconds(1) ?? 0));
+    return waits.length === 0 ? undefined : Math.min(...waits);
+  }
+
+  /** A request looks for a target: parts of named limits go where they are asked for. */
+  recordDemand(): void {
+    for (const { limit } of this.#targets.values()) {
+      limit?.recordDemand(1);
+    }
   }
 
   #makeTarget(name: string, declaration: TargetDeclaration, distances: DistanceMap): Target {
     const limitKey = slotLimitKey(this.account, this.service, name);
-    return new Target(name, limitKey, declaration, distances.placeOf(declaration.failureDomain));
+    const namedKey = namedLimitKey(this.account, this.service, name);
+    return new Target(
+      name,
+      limitKey,
+      namedKey,
+      declaration,
+      distances.placeOf(declaration.failureDomain),
+    );
   }
 
   #isInUse(target: Target): boolean {
--- a/packages/steering/src/targets/target.ts
+++ b/packages/steering/src/targets/target.ts
@@ -1,6 +1,7 @@
 import { TargetWord } from '@ferrylock/routing';
 import type { TargetDeclaration } from '@ferrylock/schema';
 import { MovingAverage } from '@ferrylock/utils';
+import type { SharedBucket } from '../limits/shared-bucket.js';
 import type { Place } from '../lookup/distance-map.js';
 
 /** Failures in a row after which a target is left alone for a while. */
@@ -27,6 +28,11 @@
   saidLeaving = 0;
   /** What it has said of itself in its answers. */
   readonly word = new TargetWord();
+  /**
+   * This daemon's part of the requests a second that it takes from all daemons together, as its answers name them; undefined where
+   * they name none.
+   */
+  limit: SharedBucket | undefined;
   /** Utilisation that the target reported last, 0 to 1; a hint among equals and nothing more. */
   reportedLoad: number | undefined;
   #failuresInARow = 0;
@@ -39,6 +45,8 @@
     readonly name: string,
     /** Names its slots among the limits that all daemons divide between them. */
     readonly limitKey: string,
+    /** Names the requests a second that it takes, likewise. */
+    readonly namedLimitKey: string,
     readonly declaration: TargetDeclaration,
     readonly place: Place,
   ) {}
@@ -57,6 +65,11 @@
     return this.word.isResting(now);
   }
 
+  /** Whether it gets as many requests as it takes: this daemon has none left to send. */
+  get isAtLimit(): boolean {
+    return this.limit !== undefined && !this.limit.has(1);
+  }
+
   /** Whether it may be given new work, apart from its free slots. */
   isOpen(now: number): boolean {
     return !this.drained && !this.leaving && now >= this.#ejectedUntil;
