--- a/packages/entry/tests/request/target-send.test.ts
+++ b/packages/entry/tests/request/target-send.test.ts
@@ -75,7 +75,7 @@
   }
 }
 
-function setUp() {
+function setUp({ limitPerSecond }: { limitPerSecond?: number } = {}) {
   const clock = new FakeClock();
   const bound = { share: 0.15, windowMilliseconds: 2_000 };
   const service = new ServiceTargets('verdict-api', {
@@ -96,6 +96,9 @@
   if (target === undefined) {
     throw new Error('expected a target');
   }
+  target.word.limit.record(limitPerSecond, { sentAt: 0, now: 0 });
+  /** What is asked of the target's limit. */
+  const given: ('asked' | 'back')[] = [];
   const sends: EmulatedSend[] = [];
   const events = new EventLog(silentLogger);
   const exchange = {
@@ -117,7 +120,15 @@
       },
     },
     words: new TargetWords({ clock, events, onLimit: () => undefined }),
-    limits: NO_LIMITS,
+    limits: {
+      take: () => {
+        given.push('asked');
+        return false;
+      },
+      giveBack: () => {
+        given.push('back');
+      },
+    },
     dialect,
     service,
     target,
@@ -128,7 +139,7 @@
   if (emulated === undefined) {
     throw new Error('expected a send');
   }
-  return { clock, target, send, emulated };
+  return { clock, target, send, emulated, given };
 }
 
 describe('a send whose caller leaves', () => {
@@ -176,3 +187,29 @@
     await clock.advance(0);
   });
 });
+
+describe('a send to a target that names a limit', () => {
+  it('gives its place back where it never left', async () => {
+    const { send, given } = setUp({ limitPerSecond: 2 });
+    send.end('caller-gone');
+    expect(await send.verdict).toMatchObject({ kind: 'ended', wasSent: false });
+    expect(given).toEqual(['back']);
+  });
+
+  it('keeps its place where it has reached the target, though it is cancelled', async () => {
+    const { clock, send, emulated, given } = setUp({ limitPerSecond: 2 });
+    emulated.start();
+    send.end('deadline');
+    await clock.advance(0);
+    expect(given).toEqual([]);
+  });
+
+  it('asks for a place before its first byte where the word came while it waited for a connection', () => {
+    const { target, emulated, given } = setUp();
+    expect(emulated.request.isWanted()).toBe(true);
+    expect(given).toEqual([]);
+    target.word.limit.record(2, { sentAt: 0, now: 0 });
+    expect(emulated.request.isWanted()).toBe(false);
+    expect(given).toEqual(['asked']);
+  });
+});
--- a/packages/routing/src/limits/limit-part.ts
+++ b/packages/routing/src/limits/limit-part.ts
@@ -17,6 +17,8 @@
 const UNHEARD_MILLISECONDS = 500;
 /** How many times the room may be asked for in that time before chance decides. */
 const RUSH = 1.5;
+/** Longest time that refused callers are spread over. */
+const LONGEST_SPREAD_MILLISECONDS = 4_000;
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** What one host knows of a target's limit when a request comes. */
@@ -117,13 +119,18 @@
     return pool * (byAsked + (1 - wanted) * this.#shareUnasked(sight, (1 - wanted) * limit));
   }
 
-  /** Until a request may be sent that comes after those that were refused lately, in milliseconds. */
+  /**
+   * Until a request may be sent, in milliseconds; with many that were refused lately, until some of these may be too, so that
+   * they do not all come back for the first place.
+   */
   waitMilliseconds(sight: LimitSight): number {
     this.#reckon(sight);
-    const missing = Math.max(0, 1 - this.#saved) + Math.max(0, this.#refused.total - 1);
-    const bySaved = missing / Math.max(this.ratePerSecond(sight), this.perSecond / sight.hosts);
-    const byRoom = this.#room(sight) <= 0 ? 1 / this.perSecond : 0;
-    return MILLISECONDS_PER_SECOND * Math.max(bySaved, byRoom);
+    const rate = Math.max(this.ratePerSecond(sight), this.perSecond / sight.hosts);
+    const forOne = (MILLISECONDS_PER_SECOND * Math.max(0, 1 - this.#saved)) / rate;
+    const forRoom = this.#room(sight) <= 0 ? MILLISECONDS_PER_SECOND / this.perSecond : 0;
+    const first = Math.max(forOne, forRoom);
+    const before = (MILLISECONDS_PER_SECOND * Math.max(0, this.#refused.total - 1)) / rate;
+    return first + Math.min(LONGEST_SPREAD_MILLISECONDS, before);
   }
 
   /** Requests that may reach the target in this window yet, as far as this host knows. */
