--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -13,6 +13,7 @@
 import { suspectCost } from './benches/suspect-cost.js';
 import { restCost } from './benches/rest-cost.js';
 import { rests } from './benches/rests.js';
+import { targetLimits } from './benches/target-limits.js';
 import { suspects } from './benches/suspects.js';
 import { spread } from './benches/spread.js';
 import type { Bench } from './report.js';
@@ -35,5 +36,6 @@
   'suspect-cost': suspectCost,
   'rest-cost': restCost,
   rests,
+  'target-limits': targetLimits,
   suspects,
 };
--- a/packages/bench/src/benches/rest-cost.ts
+++ b/packages/bench/src/benches/rest-cost.ts
@@ -1,7 +1,7 @@
 import { EventLog, TargetWords } from '@ferrylock/entry';
-import { NOTHING_LEFT_OUT, TargetState } from '@ferrylock/routing';
+import { NOTHING_LEFT_OUT, TargetLimits, TargetState } from '@ferrylock/routing';
 import { makeTargetRecord } from '@ferrylock/test-utils';
-import { silentLogger, SystemClock } from '@ferrylock/utils';
+import { SeededRandom, silentLogger, SystemClock } from '@ferrylock/utils';
 import { measureHostProcess } from '../fleet/measure-host-process.js';
 import { processorMilliseconds } from '../processor-milliseconds.js';
 import type { Bench } from '../report.js';
@@ -19,7 +19,7 @@
   unknownHeaders: [],
 };
 
-/** What it costs a request that targets may ask for rest, while none does, beside a request of a process of its own. */
+/** What it costs a request that targets may ask for rest or name limits, while none does, beside a request of a process of its own. */
 export const restCost: Bench = async ({ progress }) => {
   progress('looks …');
   const clock = new SystemClock();
@@ -32,6 +32,14 @@
     { length: LOOKED_AT },
     (_, index) => new TargetState(makeTargetRecord({ id: `target-${index}` }), clock.now()),
   );
+  const hosts = ['host-1'];
+  const limits = new TargetLimits({
+    clock,
+    random: new SeededRandom(1),
+    others: () => ({ used: 0, askedPerSecond: 0 }),
+    fleet: () => ({ hosts, ownName: 'host-1', heardShare: 1 }),
+    leftOut: NOTHING_LEFT_OUT,
+  });
   const [first] = targets;
   let resting = 0;
   const milliseconds =
@@ -41,6 +49,7 @@
         for (const target of targets) {
           resting += Number(target.isResting(now, NOTHING_LEFT_OUT));
         }
+        resting += Number(limits.take(first));
         words.recordSend(first);
         resting += Number(first.isResting(clock.now()));
         words.take(SERVICE, first, SAYS_NOTHING, now);
--- a/packages/cli/src/explain/explain-request.ts
+++ b/packages/cli/src/explain/explain-request.ts
@@ -60,10 +60,10 @@
   return told.map(([, belief]) => `  believes since ${show(belief)}`);
 }
 
-/** The target that a line is about, or those whose rest is why a request was refused. */
-function targetsOf({ target, resting }: LogLine): ReadonlySet<unknown> {
-  const resters: readonly unknown[] = Array.isArray(resting) ? resting : [];
-  return new Set([target, ...resters]);
+/** The target that a line is about, or those whose rest or limit is why a request was refused. */
+function targetsOf({ target, resting, limited }: LogLine): ReadonlySet<unknown> {
+  const named = [resting, limited].filter((names): names is unknown[] => Array.isArray(names));
+  return new Set([target, ...named.flat()]);
 }
 
 function show(line: LogLine): string {
--- a/packages/cli/tests/explain/explain-request.test.ts
+++ b/packages/cli/tests/explain/explain-request.test.ts
@@ -45,6 +45,14 @@
     expect(story[0]).toMatch(/^ {2}believes since .* target=t-1 state=resting/);
   });
 
+  it('shows whose limit it was that a request was refused for', () => {
+    const detail = 'takes 2.5 requests a second';
+    const limited = makeLine(7, 'target', { target: 't-1', state: 'limited', detail });
+    const line = { ...refused, reason: 'targets-limited', limited: ['t-1'] };
+    const story = explainRequest('r-1', [line, limited]);
+    expect(story[0]).toMatch(/^ {2}believes since .* target=t-1 state=limited .*2\.5 requests/);
+  });
+
   it('forgets what a host believed before it was started again', () => {
     const lines = [makeLine(1, 'configuration', { version: 7 }), makeLine(2, 'started'), failed];
     expect(explainRequest('r-1', lines).join('\n')).not.toContain('version=7');
