--- a/packages/routing/src/limits/limit-part.ts
+++ b/packages/routing/src/limits/limit-part.ts
@@ -16,7 +16,7 @@
 /** Age of news on average. */
 const UNHEARD_MILLISECONDS = 500;
 /** How many times the room may be asked for in that time before chance decides. */
-const RUSH = 1.5;
+const RUSH = 2;
 /** Longest time that refused callers are spread over. */
 const LONGEST_SPREAD_MILLISECONDS = 4_000;
 const MILLISECONDS_PER_SECOND = 1_000;
