--- a/packages/bench/src/benches/target-limits.ts
+++ b/packages/bench/src/benches/target-limits.ts
@@ -51,6 +51,12 @@
     fleet.ask(RUSH_PER_SECOND, alike(hosts));
     fleet.run(MEASURED_MILLISECONDS);
   },
+  fromRest: (fleet, hosts) => {
+    fleet.ask(0, alike(hosts));
+    fleet.run(2 * SETTLE_MILLISECONDS);
+    fleet.ask(RUSH_PER_SECOND, alike(hosts));
+    fleet.run(MEASURED_MILLISECONDS - 2 * SETTLE_MILLISECONDS);
+  },
 };
 
 interface Measured {
--- a/packages/routing/src/limits/limit-part.ts
+++ b/packages/routing/src/limits/limit-part.ts
@@ -16,7 +16,7 @@
 /** Age of news on average. */
 const UNHEARD_MILLISECONDS = 500;
 /** How many times the room may be asked for in that time before chance decides. */
-const RUSH = 2;
+const ASKED_PER_ROOM = 2;
 /** Longest time that refused callers are spread over. */
 const LONGEST_SPREAD_MILLISECONDS = 4_000;
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -147,7 +147,7 @@
     const room = this.#room(sight);
     const askedUnheard =
       (sight.others.askedPerSecond * UNHEARD_MILLISECONDS) / MILLISECONDS_PER_SECOND;
-    return room > 0 && this.#random.next() * askedUnheard < RUSH * (room + 1);
+    return room > 0 && this.#random.next() * askedUnheard < ASKED_PER_ROOM * (room + 1);
   }
 
   /** What this host's callers want, as far as all others know it. */
@@ -173,8 +173,7 @@
     const seconds = (now - this.#reckonedAt) / MILLISECONDS_PER_SECOND;
     const rate = this.ratePerSecond(sight);
     const most = Math.max(1, SAVED_SECONDS * rate);
-    this.#saved = Math.max(this.#saved, Math.min(most, this.#saved + seconds * rate));
-    this.#saved = Math.min(this.#saved, most);
+    this.#saved = Math.min(most, this.#saved + seconds * rate);
     this.#reckonedAt = now;
   }
 }
