fix: a limit is kept where callers leave all hosts and come back in a rush

Cause: each host keeps up to one request saved for callers that have gone, and all send it before they hear of each other. Change: where nobody asks a host for four of the times that were between requests, it keeps nothing that it would not be given anew within a window, and claims no part; chance decides where one and a half times the room is asked for unheard.

--- a/packages/routing/src/limits/limit-part.ts
+++ b/packages/routing/src/limits/limit-part.ts
@@ -16,7 +16,7 @@
 /** Age of news on average. */
 const UNHEARD_MILLISECONDS = 500;
 /** How many times the room may be asked for in that time before chance decides. */
-const ASKED_PER_ROOM = 2;
+const ASKED_PER_ROOM = 1.5;
 /** Longest time that refused callers are spread over. */
 const LONGEST_SPREAD_MILLISECONDS = 4_000;
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -90,8 +90,8 @@
 
   /** Lets a request be sent, or does not. */
   take(sight: LimitSight): boolean {
-    this.#asked.record();
     this.#reckon(sight);
+    this.#asked.record();
     // By chance, since many hosts whose parts are far below one request would else wait to have saved up one each.
     if (this.#random.next() >= this.#saved || !this.#isInRoom(sight)) {
       this.#refused.add();
@@ -172,7 +172,10 @@
     const now = this.#clock.now();
     const seconds = (now - this.#reckonedAt) / MILLISECONDS_PER_SECOND;
     const rate = this.ratePerSecond(sight);
-    const most = Math.max(1, SAVED_SECONDS * rate);
+    // Nothing is kept for callers that have gone: where they come back to all hosts at once, all would send at once.
+    const ordinary = Math.max(1, SAVED_SECONDS * rate);
+    const isQuiet = this.askedPerSecond === 0;
+    const most = isQuiet ? Math.min(ordinary, WINDOW_SECONDS * rate) : ordinary;
     this.#saved = Math.min(most, this.#saved + seconds * rate);
     this.#reckonedAt = now;
   }
--- a/packages/routing/src/limits/recent-rate.ts
+++ b/packages/routing/src/limits/recent-rate.ts
@@ -4,8 +4,8 @@
 const COUNTED = 8;
 /** Fewer requests than that are taken to have come in so long a time at least, in milliseconds. */
 const LEAST_MILLISECONDS = 4_000;
-/** Time without a request from which there are none, in milliseconds. */
-const FORGOTTEN_MILLISECONDS = 60_000;
+/** Time without a request from which there are none, as so many of the times that were between them. */
+const QUIET_INTERVALS = 4;
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** How many requests come in a second, by the last few of them; the same for one in ten seconds and for hundreds in one. */
@@ -29,7 +29,11 @@
     const now = this.#clock.now();
     const [first] = this.#times;
     const last = this.#times.at(-1);
-    if (first === undefined || last === undefined || now - last >= FORGOTTEN_MILLISECONDS) {
+    if (first === undefined || last === undefined) {
+      return 0;
+    }
+    const between = Math.max(LEAST_MILLISECONDS, last - first) / this.#times.length;
+    if (now - last > QUIET_INTERVALS * between) {
       return 0;
     }
     const least = this.#times.length < COUNTED ? LEAST_MILLISECONDS : 1;
--- a/packages/routing/tests/limits/limit-part.test.ts
+++ b/packages/routing/tests/limits/limit-part.test.ts
@@ -98,6 +98,26 @@
     },
   );
 
+  it.each([
+    [12, 1],
+    [12, 4.9],
+    [75, 1],
+    [75, 4.9],
+    [195, 1],
+  ])(
+    'is kept where callers leave %i hosts and come back in a rush, %d a second',
+    (hosts, perSecond) => {
+      const fleet = makeFleet(hosts, perSecond);
+      fleet.ask(WANTED_PER_SECOND, alike(hosts));
+      fleet.run(SETTLE_MILLISECONDS);
+      fleet.ask(0, alike(hosts));
+      fleet.run(2 * SETTLE_MILLISECONDS);
+      fleet.ask(7 * WANTED_PER_SECOND, alike(hosts));
+      fleet.run(SETTLE_MILLISECONDS);
+      expect(fleet.mostIn(WINDOW_MILLISECONDS)).toBeLessThanOrEqual(borne(perSecond));
+    },
+  );
+
   it('is kept a window after it was lowered, and used soon after it was raised', () => {
     const fleet = makeFleet(12, 4);
     fleet.ask(WANTED_PER_SECOND, alike(12));
