--- a/packages/routing/tests/limited-targets.test.ts
+++ b/packages/routing/tests/limited-targets.test.ts
@@ -1,20 +1,20 @@
-import { FakeClock, makeRoute, makeTargetRecord } from '@ferrylock/test-utils';
+import { FakeClock, makeRoute } from '@ferrylock/test-utils';
 import { SeededRandom } from '@ferrylock/utils';
 import { describe, expect, it } from 'vitest';
-import { NOTHING_LEFT_OUT, OverflowAllowance, ServiceTargets, TargetLimits } from '../src/index.js';
-import type { SeekingRequest, TargetRecord } from '../src/index.js';
+import { NOTHING_LEFT_OUT, TargetLimits } from '../src/index.js';
+import type { ServiceTargets } from '../src/index.js';
+import { BORN, makeService, put, reached } from './two-regions.js';
 
 /**
  * Each way that leads to a target, with the targets of a service at the limit that they named. The host is alone, so that all of
  * a limit is its own; the figures do not matter here, since no way may lead past a limit that is used up.
  */
-const REGIONS: Record<string, string> = { 'aarhus-hal': 'jylland', 'odense-hal': 'fyn' };
-const KEYS = Array.from({ length: 200 }, (_, index) => `object-${index}`);
-const BORN = 1_000;
+/** Moments at which all objects are asked for. */
+const STEPS = 40;
+const STEP_MILLISECONDS = 250;
 
-function makeService() {
+function makeLimitedService() {
   const clock = new FakeClock();
-  const bound = { share: 0.15, windowMilliseconds: 2_000 };
   const hosts = ['host-1'];
   const limits = new TargetLimits({
     clock,
@@ -23,22 +23,7 @@
     fleet: () => ({ hosts, ownName: 'host-1', heardShare: 1 }),
     leftOut: NOTHING_LEFT_OUT,
   });
-  const service = new ServiceTargets('verdict-api', {
-    clock,
-    overflows: new OverflowAllowance({ clock, bound, ownName: 'host-1' }),
-    retryBound: { ratio: 0.2, slack: 10, windowMilliseconds: 10_000 },
-    regionOf: (failureDomain) => REGIONS[failureDomain] ?? failureDomain,
-    ownRegion: 'jylland',
-    isEvacuated: () => false,
-    shiftBound: bound,
-    limits,
-    leftOut: NOTHING_LEFT_OUT,
-  });
-  return { clock, limits, service };
-}
-
-function put(service: ServiceTargets, id: string, changes: Partial<TargetRecord> = {}): void {
-  service.put(makeTargetRecord({ id, bornAt: BORN, failureDomain: 'aarhus-hal', ...changes }));
+  return { limits, ...makeService(clock, limits) };
 }
 
 /** The target names a limit of which nothing is left at first. */
@@ -46,28 +31,9 @@
   service.targets.get(id)?.word.limit.record(perSecond, { sentAt: 0, now: 0 });
 }
 
-/** Names of targets that requests for all objects are sent to, at one moment. */
-function reached(
-  service: ServiceTargets,
-  changes: Partial<SeekingRequest> = {},
-): Set<string | undefined> {
-  const chosen = KEYS.map((key) =>
-    service.choose({
-      route: makeRoute(),
-      key,
-      tried: new Set(),
-      leastUrgent: 0,
-      ownName: 'host-1',
-      coldSenders: ['host-1'],
-      ...changes,
-    }),
-  );
-  return new Set(chosen.map((target) => target?.id));
-}
-
 describe('a target at the limit that it named', () => {
   it('is no first choice, and gets its part again once there is room', async () => {
-    const { clock, service } = makeService();
+    const { clock, service } = makeLimitedService();
     ['a', 'b', 'c'].forEach((id) => {
       put(service, id);
     });
@@ -79,7 +45,7 @@
   });
 
   it('is not retried at, nor tried where all others fail or are full', () => {
-    const { clock, service } = makeService();
+    const { clock, service } = makeLimitedService();
     ['a', 'b'].forEach((id) => {
       put(service, id);
     });
@@ -91,18 +57,35 @@
     expect(reached(service)).toEqual(new Set([undefined]));
   });
 
-  it('is not used while it is cold, as little as its limit and its cap both allow', async () => {
-    const { clock, service } = makeService();
-    put(service, 'a', { coldMilliseconds: 60_000 });
-    limit(service, 'a', 2);
-    expect(reached(service)).toEqual(new Set([undefined]));
-    await clock.advance(10_000);
-    const sent = KEYS.filter((key) => reached(service, { key }).has('a')).length;
-    expect(sent).toBeLessThanOrEqual(1);
-  });
+  it.each([
+    ['its cap', 1, 100, 1],
+    ['its limit', 100, 1, 1],
+  ])(
+    'gets, while it is cold, what the stricter of both allows: %s',
+    async (_case, cap, named, most) => {
+      const { clock, service } = makeLimitedService();
+      put(service, 'a', { coldMilliseconds: 60_000 });
+      service.settings = {
+        name: 'verdict-api',
+        healthPath: '/health',
+        mostConnections: 390,
+        coldMilliseconds: 60_000,
+        coldRequestsPerSecond: cap,
+      };
+      limit(service, 'a', named);
+      let moments = 0;
+      for (let step = 0; step < STEPS; step++) {
+        await clock.advance(STEP_MILLISECONDS);
+        moments += Number(reached(service).has('a'));
+      }
+      const seconds = (STEPS * STEP_MILLISECONDS) / 1_000;
+      expect(moments).toBeGreaterThan(0);
+      expect(moments).toBeLessThanOrEqual(most * seconds + 1);
+    },
+  );
 
   it('gets no uploads that are to stay near, nor what overflows from another region', () => {
-    const { service } = makeService();
+    const { service } = makeLimitedService();
     put(service, 'near');
     put(service, 'far', { failureDomain: 'odense-hal' });
     limit(service, 'near');
@@ -114,7 +97,7 @@
   });
 
   it('gets nothing in its rest either, and the time until it takes work is the later of both', () => {
-    const { clock, service } = makeService();
+    const { clock, service } = makeLimitedService();
     put(service, 'a');
     put(service, 'b');
     limit(service, 'a', 0.5);
@@ -130,7 +113,7 @@
   });
 
   it('keeps its limit where its record goes and comes back, and a later start has none', () => {
-    const { service } = makeService();
+    const { service } = makeLimitedService();
     put(service, 'a');
     limit(service, 'a');
     service.remove('a');
@@ -141,7 +124,7 @@
   });
 
   it('is as any other once it names none', () => {
-    const { service } = makeService();
+    const { service } = makeLimitedService();
     put(service, 'a');
     limit(service, 'a');
     reached(service);
@@ -153,7 +136,7 @@
 
 describe('TargetLimits', () => {
   it('tells nothing of targets that name no limit, and of others what is used and wanted', async () => {
-    const { clock, limits, service } = makeService();
+    const { clock, limits, service } = makeLimitedService();
     put(service, 'a');
     put(service, 'b');
     reached(service);
--- a/packages/routing/tests/resting-targets.test.ts
+++ b/packages/routing/tests/resting-targets.test.ts
@@ -1,61 +1,18 @@
-import { FakeClock, makeRoute, makeTargetRecord } from '@ferrylock/test-utils';
+import { makeRoute } from '@ferrylock/test-utils';
 import { describe, expect, it } from 'vitest';
-import { NO_LIMITS, NOTHING_LEFT_OUT, OverflowAllowance, ServiceTargets } from '../src/index.js';
-import type { SeekingRequest, TargetRecord } from '../src/index.js';
+import type { ServiceTargets } from '../src/index.js';
+import { BORN, makeService, put, reached } from './two-regions.js';
 
 /**
  * Each way that leads to a target, with the targets of a service at rest that it would lead to. The pattern is a third of a
  * service that asks for 3 s of rest, as it was seen; the figures do not matter here, since no way may lead there.
  */
-const REGIONS: Record<string, string> = { 'aarhus-hal': 'jylland', 'odense-hal': 'fyn' };
 const REST_MILLISECONDS = 3_000;
-const KEYS = Array.from({ length: 200 }, (_, index) => `object-${index}`);
-const BORN = 1_000;
-
-function makeService() {
-  const clock = new FakeClock();
-  const bound = { share: 0.15, windowMilliseconds: 2_000 };
-  const service = new ServiceTargets('verdict-api', {
-    clock,
-    overflows: new OverflowAllowance({ clock, bound, ownName: 'host-1' }),
-    retryBound: { ratio: 0.2, slack: 10, windowMilliseconds: 10_000 },
-    regionOf: (failureDomain) => REGIONS[failureDomain] ?? failureDomain,
-    ownRegion: 'jylland',
-    isEvacuated: () => false,
-    shiftBound: bound,
-    limits: NO_LIMITS,
-    leftOut: NOTHING_LEFT_OUT,
-  });
-  return { clock, service };
-}
-
-function put(service: ServiceTargets, id: string, changes: Partial<TargetRecord> = {}): void {
-  service.put(makeTargetRecord({ id, bornAt: BORN, failureDomain: 'aarhus-hal', ...changes }));
-}
 
 function rest(service: ServiceTargets, id: string): void {
   service.targets.get(id)?.word.recordRest(REST_MILLISECONDS, 0);
 }
 
-/** Names of targets that requests for all objects are sent to. */
-function reached(
-  service: ServiceTargets,
-  changes: Partial<SeekingRequest> = {},
-): Set<string | undefined> {
-  const chosen = KEYS.map((key) =>
-    service.choose({
-      route: makeRoute(),
-      key,
-      tried: new Set(),
-      leastUrgent: 0,
-      ownName: 'host-1',
-      coldSenders: ['host-1'],
-      ...changes,
-    }),
-  );
-  return new Set(chosen.map((target) => target?.id));
-}
-
 describe('a target that asked for rest', () => {
   it('is no first choice, and its objects come home after its rest', async () => {
     const { clock, service } = makeService();
