feat: hosts say which life of the store they hear, and what they refuse of it

Lines `store-epoch`, `listing-refused` (the first of a row), `store-header` (a header of the store's that is not known or makes no sense, once a name, nothing of its value: the answers of targets were watched for such, those of the store not); `ferrylock_store_epoch`, `_store_revision`, `_known_revision`, `_refused_listings_total`.

No logic has changed.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -166,10 +166,12 @@
   /** Figures in the Prometheus text format. */
   metricsText(): string {
     const { clock, events } = this.#options;
-    const { view, peers, state, hosts, limits } = this.#member;
+    const { view, peers, state, hosts, limits, storeProgress } = this.#member;
     const services = [...state.services];
     return metricsText(this.metrics, {
       beliefAgeMilliseconds: clock.now() - view.confirmedAt,
+      knownRevision: view.revision,
+      store: storeProgress,
       configurationVersion: state.active?.version,
       peersHeard: hosts.filter((host) => peers.isAlive(host)).length,
       targetsKnown: services.reduce((sum, { targets }) => sum + targets.size, 0),
--- a/packages/entry/src/events.ts
+++ b/packages/entry/src/events.ts
@@ -47,6 +47,26 @@
   z.object({ event: z.literal('store-lost'), call: z.string(), detail: z.string() }),
   /** The store answers again. */
   z.object({ event: z.literal('store-regained'), lostMilliseconds: z.number() }),
+  /**
+   * The store has come back from a copy of itself: its revisions count from an earlier one. The host
+   * knew its content up to a revision of the life before.
+   */
+  z.object({
+    event: z.literal('store-epoch'),
+    epoch: z.number(),
+    formerEpoch: z.number(),
+    revision: z.number(),
+    knownRevision: z.number(),
+  }),
+  /** A listing was not taken over: it ends at a revision before the one that is known. The first of a row alone has a line. */
+  z.object({
+    event: z.literal('listing-refused'),
+    epoch: z.number(),
+    revision: z.number(),
+    knownRevision: z.number(),
+  }),
+  /** What the store says in a header is not known or cannot be read; written once for each name. */
+  z.object({ event: z.literal('store-header'), header: z.string(), detail: z.string() }),
   /** What the host believes of the store's content has moved on. */
   z.object({
     event: z.literal('view'),
--- a/packages/entry/src/fleet-member.ts
+++ b/packages/entry/src/fleet-member.ts
@@ -8,6 +8,7 @@
 import { FleetView } from './fleet/fleet-view.js';
 import { HostRegistration } from './fleet/host-registration.js';
 import { StoreHealth } from './fleet/store-health.js';
+import type { StoreProgress } from './fleet/store-progress.js';
 import { StoreWatch } from './fleet/store-watch.js';
 import { LimitDuty } from './limits/limit-duty.js';
 import type { OpenDatagrams } from './peers/datagrams.js';
@@ -187,6 +188,11 @@
     return this.#hostNames;
   }
 
+  /** What the store told this host of itself. */
+  get storeProgress(): StoreProgress {
+    return this.#watch.progress;
+  }
+
   /** Listens to other hosts and tells the address. */
   listen(): Promise<string> {
     return this.#exchange.listen(this.#options.settings.reportAddress);
--- a/packages/entry/src/fleet/fleet-store.ts
+++ b/packages/entry/src/fleet/fleet-store.ts
@@ -10,10 +10,14 @@
 export interface FleetStoreFailure {
   readonly kind: 'not-done' | 'unknown' | 'history-lost' | 'lease-over';
   readonly message: string;
+  /** Which of its lives the store answered in; absent where it does not tell, or did not answer. */
+  readonly epoch?: number | undefined;
 }
 
 /** All that the store holds, or what has changed in it, up to a revision. */
 export interface FleetChanges {
+  /** How often the store has come back from a copy of itself, with revisions of former times; absent where it does not tell. */
+  readonly epoch?: number | undefined;
   readonly changes: readonly FleetChange[];
   readonly revision: number;
 }
--- a/packages/entry/src/fleet/store-watch.ts
+++ b/packages/entry/src/fleet/store-watch.ts
@@ -4,6 +4,7 @@
 import type { FleetStore, FleetStoreFailure } from './fleet-store.js';
 import type { FleetView } from './fleet-view.js';
 import type { StoreHealth } from './store-health.js';
+import { StoreProgress } from './store-progress.js';
 
 /** How long a watch waits at the store. Its end confirms that the store and the way to it work. */
 const WAIT_MILLISECONDS = 1_000;
@@ -33,10 +34,13 @@
 export class StoreWatch {
   readonly #options: StoreWatchOptions;
   readonly #tasks: BackgroundTasks;
+  /** What the store told, whether it was taken over or not. */
+  readonly progress: StoreProgress;
 
   constructor(options: StoreWatchOptions) {
     this.#options = options;
     this.#tasks = new BackgroundTasks(options.events.logger);
+    this.progress = new StoreProgress(options.events);
   }
 
   start(): void {
@@ -72,7 +76,10 @@
       return this.#failed('list', listing.error);
     }
     const { revision, changes } = listing.value;
+    const knownRevision = view.revision;
+    this.progress.record(listing.value, knownRevision);
     view.replace(revision, changes);
+    this.progress.recordListing(revision >= knownRevision, knownRevision);
     this.#succeeded(
       'list',
       revision,
@@ -91,6 +98,7 @@
       return this.#failed('watch', answer.error);
     }
     const { revision, changes } = answer.value;
+    this.progress.record(answer.value, view.revision);
     view.apply({ afterRevision: after, revision, changes });
     this.#succeeded(
       'watch',
@@ -114,6 +122,7 @@
   }
 
   #failed(call: string, failure: FleetStoreFailure): FleetStoreFailure {
+    this.progress.record({ epoch: failure.epoch }, this.#options.view.revision);
     if (failure.kind !== 'history-lost') {
       this.#options.health.recordFailure(call, failure.message);
     }
--- a/packages/entry/src/metrics-text.ts
+++ b/packages/entry/src/metrics-text.ts
@@ -1,3 +1,4 @@
+import type { StoreProgress } from './fleet/store-progress.js';
 import type { AccountRow } from './request/account-metrics.js';
 import type { ClassMetrics, RequestMetrics } from './request/request-metrics.js';
 import type { LimitedTarget } from './routing/limited-targets.js';
@@ -18,6 +19,10 @@
 export interface HostFigures {
   /** Age of the newest confirmation of its view; infinite before the first. */
   readonly beliefAgeMilliseconds: number;
+  /** Revision of the store up to which this host knows what it held. */
+  readonly knownRevision: number;
+  /** What the store told of itself. */
+  readonly store: Pick<StoreProgress, 'epoch' | 'revision' | 'refusedListings'>;
   readonly configurationVersion: number | undefined;
   readonly peersHeard: number;
   readonly targetsKnown: number;
@@ -49,6 +54,10 @@
   const lines = [
     ...gauge('requests_in_flight', metrics.inFlight),
     ...gauge('belief_age_seconds', figures.beliefAgeMilliseconds / MILLISECONDS_PER_SECOND),
+    ...gauge('store_epoch', figures.store.epoch),
+    ...gauge('store_revision', figures.store.revision),
+    ...gauge('known_revision', figures.knownRevision),
+    ...counter('refused_listings_total', figures.store.refusedListings),
     ...gauge('configuration_version', figures.configurationVersion ?? 0),
     ...gauge('peers_heard', figures.peersHeard),
     ...gauge('targets_known', figures.targetsKnown),
--- a/packages/entry/tests/fleet/store-watch.test.ts
+++ b/packages/entry/tests/fleet/store-watch.test.ts
@@ -115,4 +115,32 @@
     await clock.advance(5_000);
     expect(store.calls).toEqual([]);
   });
+
+  it('writes down that the store came back from a copy, with the revisions of both its lives', async () => {
+    const { clock, store, watch, events } = makeWatch();
+    store.listings = [
+      Ok({ epoch: 1, revision: 7, changes: [targetChange(7)] }),
+      Ok({ epoch: 2, revision: 4, changes: [targetChange(4)] }),
+    ];
+    store.waits = [Err({ ...failure('history-lost'), epoch: 2 })];
+    watch.start();
+    await clock.advance(1_000);
+    expect(watch.progress).toMatchObject({ epoch: 2, revision: 4 });
+    expect(events.filter(({ event }) => event === 'store-epoch')).toEqual([
+      { event: 'store-epoch', epoch: 2, formerEpoch: 1, revision: 7, knownRevision: 7 },
+    ]);
+  });
+
+  it('writes down that listings are refused whose revision is below the one that is known, once in a row', async () => {
+    const { clock, store, watch, events } = makeWatch();
+    const behind = { revision: 4, changes: [targetChange(4)] };
+    store.listings = [Ok({ revision: 7, changes: [targetChange(7)] }), Ok(behind), Ok(behind)];
+    store.waits = [Err(failure('history-lost')), Err(failure('history-lost'))];
+    watch.start();
+    await clock.advance(5_000);
+    expect(watch.progress).toMatchObject({ epoch: 0, revision: 4, refusedListings: 2 });
+    expect(events.filter(({ event }) => event === 'listing-refused')).toEqual([
+      { event: 'listing-refused', epoch: 0, revision: 4, knownRevision: 7 },
+    ]);
+  });
 });
