test: hosts whose store comes back from a copy learn nothing more (fails)

EntryFleet learns to confirm versions, to add hosts, and to cut one off from the store; its counting clock has a file of its own.

--- a/packages/entry/src/routing/routing-state.ts
+++ b/packages/entry/src/routing/routing-state.ts
@@ -99,6 +99,11 @@
     return this.#services.values();
   }
 
+  /** Failure domains to whose targets nothing more goes. */
+  get evacuatedDomains(): ReadonlySet<string> {
+    return new Set(this.#evacuated.values());
+  }
+
   service(name: string): ServiceTargets | undefined {
     return this.#services.get(name);
   }
--- a/packages/test-utils/src/entry-fleet.ts
+++ b/packages/test-utils/src/entry-fleet.ts
@@ -11,7 +11,9 @@
 import type { Clock, Random } from '@ferrylock/utils';
 import { randomIndex, SeededRandom, silentLogger } from '@ferrylock/utils';
 import { Err, Ok } from 'ts-results-es';
+import { CountingClock } from './counting-clock.js';
 import { MemoryFleetStore } from './memory-fleet-store.js';
+import { WayToStore } from './way-to-store.js';
 import { makeRoute, makeTargetRecord } from './routes-and-targets.js';
 
 /** Time of a message between hosts. */
@@ -60,34 +62,6 @@
   readonly record: EntryHostRecord;
 }
 
-/** Counts what wakes a host. */
-class CountingClock implements Clock {
-  constructor(
-    readonly clock: Clock,
-    readonly counts: EntryFleetCounts,
-  ) {}
-
-  now(): number {
-    return this.clock.now();
-  }
-
-  wallTime(): Date {
-    return this.clock.wallTime();
-  }
-
-  async sleep(milliseconds: number, signal?: AbortSignal): Promise<void> {
-    await this.clock.sleep(milliseconds, signal);
-    this.counts.wakeUps++;
-  }
-
-  after(milliseconds: number, callback: () => void): () => void {
-    return this.clock.after(milliseconds, () => {
-      this.counts.wakeUps++;
-      callback();
-    });
-  }
-}
-
 /**
  * The parts in which entry hosts deal with one another and the store, hundreds of them in one
  * process, on an in-memory network and by an injected clock. Callers are emulated at the large hosts:
@@ -115,6 +89,7 @@
   readonly #regionOfAddress = new Map<string, string>();
   /** Report addresses of hosts that neither hear nor reach others. */
   readonly #cut = new Set<string>();
+  readonly #waysToStore = new Map<string, WayToStore>();
   #starts = 0;
   readonly #regions: Readonly<Record<string, string>>;
 
@@ -126,10 +101,7 @@
     this.#regions = Object.fromEntries(
       domains.map((domain, index) => [domain, `region-${index % 3}`]),
     );
-    this.store.put('configuration', {
-      kind: 'configuration',
-      configuration: this.#configuration(),
-    });
+    this.configure(1);
     this.addTargets(options.targetsPerService);
   }
 
@@ -137,6 +109,12 @@
     return this.#configuration().routes;
   }
 
+  /** Confirms a version of the configuration, as the operator does. */
+  configure(version: number): void {
+    const configuration = { ...this.#configuration(), version };
+    this.store.put('configuration', { kind: 'configuration', configuration });
+  }
+
   /** Makes all hosts, spread over the failure domains; each begins at once. */
   start(): void {
     for (let index = 0; index < this.#options.hosts; index++) {
@@ -235,6 +213,19 @@
     }
   }
 
+  /** Starts one host more. */
+  addHost(): void {
+    this.#startHost(this.hosts.length);
+  }
+
+  /** Cuts a host off from the store, or ends that. */
+  setStoreCut(index: number, isCut: boolean): void {
+    const way = this.#waysToStore.get(`host-${index}`);
+    if (way !== undefined) {
+      way.isCut = isCut;
+    }
+  }
+
   #startHost(index: number): void {
     const { clock, domains, largeHostsPerDomain } = this.#options;
     const place = Math.floor(index / domains);
@@ -250,12 +241,14 @@
       reportAddress: `10.0.0.${index}:3`,
       capacity: place < largeHostsPerDomain ? LARGE_CAPACITY : SMALL_CAPACITY,
     };
+    const store = new WayToStore(this.store, clock);
+    this.#waysToStore.set(record.name, store);
     const member = new FleetMember({
       settings: this.#settings(record),
       clock: new CountingClock(clock, this.counts),
       random: new SeededRandom(this.#options.seed + index),
       events: new EventLog(silentLogger),
-      store: this.store,
+      store,
       peerCalls: this.#callsOf(record),
       openDatagrams: (onMessage) => this.#open(record, onMessage),
       onSweep: () => undefined,
--- a/packages/test-utils/src/memory-fleet-store.ts
+++ b/packages/test-utils/src/memory-fleet-store.ts
@@ -15,17 +15,39 @@
 
 /** Time of an ordinary call, each way. */
 const WAY_MILLISECONDS = 2;
+const AWAY = { kind: 'unknown', message: 'no answer' } as const;
+
+/** What the store holds at one time, to be put back later. */
+export interface MemoryStoreCopy {
+  readonly entries: ReadonlyMap<string, FleetChange>;
+  readonly history: readonly FleetChange[];
+  readonly leases: ReadonlyMap<number, { readonly key: string }>;
+  readonly revision: number;
+  readonly nextLease: number;
+}
+
+/** What a lease of the copy lasts from the store's return on. */
+const RETURNED_LEASE_MILLISECONDS = 12_000;
+/** Kinds of records that the operator and the targets write, and write again after the store's return. */
+const FOREIGN_KINDS: ReadonlySet<string> = new Set(['configuration', 'evacuation', 'target']);
 
 /** The platform's store as entry hosts use it, in memory and by an injected clock. */
 export class MemoryFleetStore implements FleetStore {
   /** Calls taken so far, by kind. */
   readonly calls = { list: 0, watch: 0, write: 0, renew: 0 };
+  /** How often it came back from a copy, as its answers say it; undefined where they say nothing. */
+  epoch: number | undefined = 1;
+  /** When a lease was renewed or ended that was granted in a former life. */
+  readonly formerLeaseCalls: number[] = [];
+  readonly #epochOfLease = new WeakMap<HostLease, number | undefined>();
+  #isAway = false;
   readonly #clock: Clock;
   readonly #entries = new Map<string, FleetChange>();
   readonly #history: FleetChange[] = [];
   readonly #waiting = new Set<() => void>();
   readonly #leases = new Map<number, { key: string; cancel: () => void }>();
   #revision = 1;
+  #historyAfter = 0;
   #nextLease = 1;
 
   constructor(clock: Clock) {
@@ -43,10 +65,89 @@
     }
   }
 
+  /** Answers nobody from now on, and cuts watches; or answers again. */
+  setAway(isAway: boolean): void {
+    this.#isAway = isAway;
+    this.#wakeAll();
+  }
+
+  /** Forgets what led to the present state. */
+  forgetHistory(): void {
+    this.#history.length = 0;
+    this.#historyAfter = this.#revision;
+  }
+
+  /** A copy of all that it holds now. */
+  takeCopy(): MemoryStoreCopy {
+    return {
+      entries: new Map(this.#entries),
+      history: [...this.#history],
+      leases: new Map(this.#leases),
+      revision: this.#revision,
+      nextLease: this.#nextLease,
+    };
+  }
+
+  /**
+   * Comes back from a copy: what was written since is gone, leases too; revisions and numbers of leases count from the
+   * copy's.
+   *
+   * @returns what writes again what the operator and the targets had written
+   */
+  restore(copy: MemoryStoreCopy): () => void {
+    const former = this.#foreignEntries();
+    for (const { cancel } of this.#leases.values()) {
+      cancel();
+    }
+    this.#leases.clear();
+    this.#entries.clear();
+    for (const [key, entry] of copy.entries) {
+      this.#entries.set(key, entry);
+    }
+    this.#history.splice(0, Infinity, ...copy.history);
+    this.#revision = copy.revision;
+    this.#nextLease = copy.nextLease;
+    this.epoch = this.epoch === undefined ? undefined : this.epoch + 1;
+    for (const [id, { key }] of copy.leases) {
+      this.#keep(id, key, RETURNED_LEASE_MILLISECONDS);
+    }
+    this.#wakeAll();
+    return () => {
+      this.#writeAgain(former);
+    };
+  }
+
+  #foreignEntries(): Map<string, FleetRecord> {
+    const foreign = new Map<string, FleetRecord>();
+    for (const { key, record } of this.#entries.values()) {
+      if (record !== undefined && FOREIGN_KINDS.has(record.kind)) {
+        foreign.set(key, record);
+      }
+    }
+    return foreign;
+  }
+
+  #writeAgain(former: ReadonlyMap<string, FleetRecord>): void {
+    for (const key of this.#foreignEntries().keys()) {
+      if (!former.has(key)) {
+        this.remove(key);
+      }
+    }
+    for (const [key, record] of former) {
+      if (JSON.stringify(this.#entries.get(key)?.record) !== JSON.stringify(record)) {
+        this.put(key, record);
+      }
+    }
+  }
+
   async list(): Promise<Result<FleetChanges, FleetStoreFailure>> {
     this.calls.list++;
     await this.#clock.sleep(WAY_MILLISECONDS);
-    const listed = { revision: this.#revision, changes: [...this.#entries.values()] };
+    if (this.#isAway) {
+      return Err(AWAY);
+    }
+    const { epoch } = this;
+    const listed = { epoch, revision: this.#revision, changes: [...this.#entries.values()] };
     await this.#clock.sleep(WAY_MILLISECONDS);
     return Ok(listed);
   }
@@ -57,13 +158,21 @@
   ): Promise<Result<FleetChanges, FleetStoreFailure>> {
     this.calls.watch++;
     await this.#clock.sleep(WAY_MILLISECONDS);
-    if (this.#revision <= afterRevision) {
+    const { epoch: askedIn } = this;
+    if (!this.#isAway && this.#revision === afterRevision) {
       await this.#nextChange(waitMilliseconds);
     }
+    if (this.#isAway || this.epoch !== askedIn) {
+      return Err(AWAY);
+    }
+    const { epoch } = this;
+    if (this.#revision < afterRevision || afterRevision < this.#historyAfter) {
+      return Err({ kind: 'history-lost', message: 'no such revision', epoch });
+    }
     const revision = this.#revision;
     const changes = this.#history.filter((change) => change.revision > afterRevision);
     await this.#clock.sleep(WAY_MILLISECONDS);
-    return Ok({ revision, changes });
+    return Ok({ epoch, revision, changes });
   }
 
   async register(
@@ -72,20 +181,29 @@
   ): Promise<Result<HostLease, FleetStoreFailure>> {
     this.calls.write += 2;
     await this.#clock.sleep(2 * WAY_MILLISECONDS);
-    const id = this.#nextLease++;
+    if (this.#isAway) {
+      return Err(AWAY);
+    }
+    const lease = { id: this.#nextLease++, milliseconds };
     const key = `hosts/${host.name}`;
-    this.#keep(id, key, milliseconds);
+    this.#keep(lease.id, key, milliseconds);
+    this.#epochOfLease.set(lease, this.epoch);
     this.put(key, { kind: 'entryHost', host });
     await this.#clock.sleep(WAY_MILLISECONDS);
-    return Ok({ id, milliseconds });
+    return Ok(lease);
   }
 
-  async renew({ id, milliseconds }: HostLease): Promise<Result<void, FleetStoreFailure>> {
+  async renew(held: HostLease): Promise<Result<void, FleetStoreFailure>> {
+    const { id, milliseconds } = held;
     this.calls.renew++;
     await this.#clock.sleep(2 * WAY_MILLISECONDS);
+    if (this.#isAway) {
+      return Err(AWAY);
+    }
+    this.#countFormer(held);
     const lease = this.#leases.get(id);
     if (lease === undefined) {
-      return Err({ kind: 'lease-over', message: 'no such lease' });
+      return Err({ kind: 'lease-over', message: 'no such lease', epoch: this.epoch });
     }
     lease.cancel();
     this.#keep(id, lease.key, milliseconds);
@@ -98,6 +216,9 @@
   ): Promise<Result<void, FleetStoreFailure>> {
     this.calls.write += 2;
     await this.#clock.sleep(2 * WAY_MILLISECONDS);
+    if (this.#isAway) {
+      return Err(AWAY);
+    }
     const key = `suspects/${suspect.fingerprint}`;
     if ((this.#entries.get(key)?.revision ?? 0) !== revision) {
       return Err({ kind: 'not-done', message: 'another revision' });
@@ -114,13 +235,23 @@
     return Ok(undefined);
   }
 
-  async release({ id }: HostLease): Promise<Result<void, FleetStoreFailure>> {
+  async release(lease: HostLease): Promise<Result<void, FleetStoreFailure>> {
     this.calls.write++;
     await this.#clock.sleep(WAY_MILLISECONDS);
-    this.#end(id);
+    if (this.#isAway) {
+      return Err(AWAY);
+    }
+    this.#countFormer(lease);
+    this.#end(lease.id);
     return Ok(undefined);
   }
 
+  #countFormer(lease: HostLease): void {
+    if (this.#epochOfLease.get(lease) !== this.epoch) {
+      this.formerLeaseCalls.push(this.#clock.now());
+    }
+  }
+
   #keep(id: number, key: string, milliseconds: number): void {
     const cancel = this.#clock.after(milliseconds, () => {
       this.#end(id);
@@ -144,6 +275,10 @@
       this.#entries.set(change.key, change);
     }
     this.#history.push(change);
+    this.#wakeAll();
+  }
+
+  #wakeAll(): void {
     for (const wake of [...this.#waiting]) {
       wake();
     }
