--- a/packages/entry/src/events.ts
+++ b/packages/entry/src/events.ts
@@ -58,6 +58,19 @@
     revision: z.number(),
     knownRevision: z.number(),
   }),
+  /**
+   * This host goes by the store's next life from now on. Of these keys it keeps what it knew, since that is newer than what the store
+   * holds (`kept`) or the store does not hold them any more (`missing`).
+   */
+  z.object({
+    event: z.literal('store-return'),
+    epoch: z.number(),
+    formerEpoch: z.number(),
+    revision: z.number(),
+    knownRevision: z.number(),
+    kept: z.array(z.string()),
+    missing: z.array(z.string()),
+  }),
   /** A listing was not taken over: it ends at a revision before the one that is known. The first of a row alone has a line. */
   z.object({
     event: z.literal('listing-refused'),
--- a/packages/entry/src/fleet-member.ts
+++ b/packages/entry/src/fleet-member.ts
@@ -5,7 +5,9 @@
 import type { EventLog } from './events.js';
 import type { EntryHostRecord } from './fleet/fleet-record.js';
 import type { FleetStore } from './fleet/fleet-store.js';
+import type { StoreReturn } from './fleet/fleet-view.js';
 import { FleetView } from './fleet/fleet-view.js';
+import { epochOf } from './fleet/store-position.js';
 import { HostRegistration } from './fleet/host-registration.js';
 import { StoreHealth } from './fleet/store-health.js';
 import type { StoreProgress } from './fleet/store-progress.js';
@@ -29,6 +31,12 @@
 /** Pause between two rounds of asking the seeds while nothing is known. */
 const SEED_PAUSE_MILLISECONDS = 300;
 
+/**
+ * After the store's return, beside the time in which hosts write themselves again: records of targets that no longer write go after
+ * three heartbeats.
+ */
+const WRITTEN_AGAIN_MILLISECONDS = 5_000;
+
 export interface FleetMemberOptions {
   readonly settings: EntryHostSettings;
   readonly clock: Clock;
@@ -70,6 +78,8 @@
   #hosts: readonly EntryHostRecord[] = [];
   #hostNames: readonly string[];
   #isLeaving = false;
+  /** When the store was learned to have come back, while others may still write again what it lost; else infinite. */
+  #returnedAt = Infinity;
 
   constructor(options: FleetMemberOptions) {
     this.#options = options;
@@ -165,6 +175,10 @@
       view,
       health: this.#health,
       isNeeded: () => duty.isNeeded,
+      turnMilliseconds: () => duty.turnMilliseconds,
+    });
+    view.onReturn((returned) => {
+      this.#takeReturn(returned);
     });
     view.onChanges((changes) => {
       if (changes.some(({ record }) => record === undefined || record.kind === 'entryHost')) {
@@ -240,6 +254,21 @@
     return this.#hosts.find((host) => host.name === name)?.incarnation;
   }
 
+  #takeReturn({ former, position, kept, missing }: StoreReturn): void {
+    const { clock, events } = this.#options;
+    this.#returnedAt = clock.now();
+    this.#health.recordReturn();
+    events.write({
+      event: 'store-return',
+      epoch: epochOf(position),
+      formerEpoch: epochOf(former),
+      revision: position.revision,
+      knownRevision: former.revision,
+      kept: kept.filter((key) => !missing.includes(key)),
+      missing: [...missing],
+    });
+  }
+
   /** Learns from the seeds while nothing is known, as when the store is away. */
   async #askSeeds(signal: AbortSignal): Promise<void> {
     const { settings, clock } = this.#options;
@@ -258,6 +287,14 @@
     return seeds.length > 0 && this.view.isEmpty && !signal.aborted;
   }
 
+  /** Once all that write to the store have had time to write again, what it lacks is gone. */
+  #settle(now: number): void {
+    if (now - this.#returnedAt >= WRITTEN_AGAIN_MILLISECONDS) {
+      this.#returnedAt = Infinity;
+      this.view.settle();
+    }
+  }
+
   async #sweep(signal: AbortSignal): Promise<void> {
     const { clock, events, onSweep } = this.#options;
     let before = clock.now();
@@ -275,6 +312,7 @@
       this.accounts.sweep();
       this.limits.sweep();
       this.suspects.sweep();
+      this.#settle(now);
       this.#health.recordConfirmation(this.view.confirmedAt);
       this.state.sweep();
       this.#placement.sweep();
--- a/packages/entry/src/fleet/fleet-record.ts
+++ b/packages/entry/src/fleet/fleet-record.ts
@@ -31,11 +31,18 @@
 /** A key's latest change; one without a record says that the key is gone. */
 export const fleetChangeSchema = z.object({
   key: z.string(),
+  /** The life of the store that the revision belongs to; absent, as 0, before the store tells of any return. */
+  epoch: z.number().int().nonnegative().optional(),
   /** The store's revision that made the change. */
   revision: z.number().int(),
   record: fleetRecordSchema.optional(),
   /** Whether there is a value that cannot be read, as another program writes it. Such a value names nothing. */
   isUnreadable: z.boolean().optional(),
+  /**
+   * Whether it was found in a listing after the store had come back from a copy. It may be of the copy then, and older
+   * than what was known.
+   */
+  isListed: z.boolean().optional(),
 });
 
 export type EntryHostRecord = z.infer<typeof entryHostRecordSchema>;
--- a/packages/entry/src/fleet/fleet-view.ts
+++ b/packages/entry/src/fleet/fleet-view.ts
@@ -1,38 +1,61 @@
 import type { FleetChange, FleetRecord } from './fleet-record.js';
+import type { StorePosition } from './store-position.js';
+import { epochOf, isAfter, laterOf, NO_POSITION, positionOf } from './store-position.js';
+import { ViewEntries } from './view-entries.js';
+import { ViewHistory } from './view-history.js';
 
-/** Changes that are kept to be handed to other entry hosts. */
-const KEPT_CHANGES = 2_000;
-
-/** Changes that lead from one revision to another. */
+/** Changes that lead from one position to another. */
 export interface FleetDelta {
+  readonly afterEpoch?: number | undefined;
   readonly afterRevision: number;
+  readonly epoch?: number | undefined;
   readonly revision: number;
+  /** Revision of the newest change that whoever tells it knows, where that may be none of these. */
+  readonly lastChange?: number | undefined;
   readonly changes: readonly FleetChange[];
+  /** What is known beyond the store's present life. */
+  readonly kept?: readonly FleetChange[] | undefined;
 }
 
 export type FleetListener = (changes: readonly FleetChange[]) => void;
 
+/** That the store has come back from a copy, as this host learned it. */
+export interface StoreReturn {
+  /** How far its life before was known. */
+  readonly former: StorePosition;
+  readonly position: StorePosition;
+  /** Keys of which more is known than the store holds now. */
+  readonly kept: readonly string[];
+  /** Of these, keys that the store holds no more. */
+  readonly missing: readonly string[];
+}
+
 /**
- * What this entry host believes that the store holds: every key's latest change, up to a revision.
- * It never goes back, whatever order news comes in and from whom.
+ * What this entry host believes that the store holds: every key's latest change, up to a position. It never goes back, whatever order news
+ * comes in and from whom.
  */
 export class FleetView {
-  /** Every change up to this revision is known. 0 before anything is. */
-  revision = 0;
+  /** Every change up to this position is known. */
+  position: StorePosition = NO_POSITION;
   /**
-   * Revision of the newest change that is known. Unlike {@link revision} it stands still while the
-   * store counts on without a change, so that hosts can compare it.
+   * The newest change that is known. Unlike {@link position} it stands still while the store counts on without a
+   * change, so that hosts can compare it.
    */
-  lastChange = 0;
+  lastChange: StorePosition = NO_POSITION;
   /** When the store is known to have held nothing newer, in monotonic milliseconds. */
   confirmedAt = -Infinity;
-  readonly #latest = new Map<string, FleetChange>();
-  /** What was asked for of each kind, until a record of the kind changes. */
-  readonly #records = new Map<FleetRecord['kind'], readonly FleetRecord[]>();
-  readonly #history: FleetChange[] = [];
-  /** The history reaches back to the changes after this revision. */
-  #historyAfter = 0;
+  readonly #entries = new ViewEntries();
+  readonly #history = new ViewHistory();
   readonly #listeners: FleetListener[] = [];
+  readonly #returnListeners: ((returned: StoreReturn) => void)[] = [];
+
+  get revision(): number {
+    return this.position.revision;
+  }
+
+  get epoch(): number {
+    return epochOf(this.position);
+  }
 
   get isEmpty(): boolean {
     return this.revision === 0;
@@ -40,22 +63,34 @@
 
   /** Everything held, without what is gone. */
   get entries(): FleetChange[] {
-    return [...this.#latest.values()].filter(({ record }) => record !== undefined);
+    return this.#entries.present;
+  }
+
+  /** What is known beyond what the store holds since it came back from a copy. */
+  get kept(): FleetChange[] {
+    return this.#entries.kept;
+  }
+
+  /** Names what is kept, for hosts to see whether they keep the same; undefined where nothing is. */
+  get keptMark(): string | undefined {
+    return this.#entries.keptMark;
   }
 
   /** Everything of a kind; the same array while nothing of the kind changes. */
   records<Kind extends FleetRecord['kind']>(
     kind: Kind,
   ): readonly Extract<FleetRecord, { kind: Kind }>[] {
-    type Wanted = Extract<FleetRecord, { kind: Kind }>;
-    const known = this.#records.get(kind);
-    if (known !== undefined) {
-      return known as readonly Wanted[];
-    }
-    const records = [...this.#latest.values()].map(({ record }) => record);
-    const wanted = records.filter((record): record is Wanted => record?.kind === kind);
-    this.#records.set(kind, wanted);
-    return wanted;
+    return this.#entries.records(kind);
+  }
+
+  /** Revision of a key in the store's present life, as far as is known; 0 where it holds none. */
+  writtenRevision(key: string): number {
+    return this.#entries.writtenRevision(key);
+  }
+
+  /** Whether more is known of a key than the store holds. */
+  isKept(key: string): boolean {
+    return this.#entries.isKept(key);
   }
 
   /** Calls back after each step forward, with the changes that were new. */
@@ -63,77 +98,197 @@
     this.#listeners.push(listener);
   }
 
+  /** Calls back when it is learned that the store came back from a copy, before the changes that this brings. */
+  onReturn(listener: (returned: StoreReturn) => void): void {
+    this.#returnListeners.push(listener);
+  }
+
   /** The store, or who heard from it, had no newer change than this one at this time. */
-  confirm(lastChange: number, at: number): void {
-    if (lastChange >= this.lastChange) {
+  confirm(lastChange: StorePosition, at: number): void {
+    const isOfThisLife = epochOf(lastChange) === epochOf(this.lastChange);
+    if (isOfThisLife && !isAfter(this.lastChange, lastChange)) {
       this.confirmedAt = Math.max(this.confirmedAt, at);
     }
   }
 
-  /** Takes changes on. Those after a revision that is not reached yet are refused with false. */
-  apply({ afterRevision, revision, changes }: FleetDelta): boolean {
-    if (afterRevision > this.revision) {
+  /** Takes changes on. Those after a position that is not reached yet are refused with false. */
+  apply(delta: FleetDelta): boolean {
+    const { afterEpoch, afterRevision, epoch, revision, lastChange = 0 } = delta;
+    if (isAfter({ epoch: afterEpoch, revision: afterRevision }, this.position)) {
       return false;
     }
-    const news = changes.filter((change) => this.#isNews(change));
-    this.#take(news);
-    this.revision = Math.max(this.revision, revision);
-    this.#notify(news);
+    const former = this.position;
+    const upTo = positionOf({ epoch, revision });
+    const isReturn = epochOf(upTo) > this.epoch;
+    const news = this.#takeByLives(delta, upTo);
+    if (isReturn) {
+      this.#history.enter(upTo);
+    }
+    this.#advance(upTo, { epoch: epochOf(upTo), revision: lastChange });
+    this.#tell(former, news);
     return true;
   }
 
-  /** Takes a whole listing on: keys that it lacks are gone, unless they are newer than it. */
-  replace(revision: number, entries: readonly FleetChange[]): void {
-    if (revision < this.revision) {
-      return;
+  /**
+   * Takes a whole listing on: keys that it lacks are gone, unless they are newer than it.
+   *
+   * @returns whether it was; an older one brings only what is newer by its own numbers
+   */
+  replace(position: StorePosition, entries: readonly FleetChange[]): boolean {
+    const former = this.position;
+    if (isAfter(former, position)) {
+      const newer = entries.filter((change) => this.#entries.isNewerByItself(change));
+      this.#tell(former, this.#take(newer));
+      return false;
     }
-    const listed = new Set(entries.map(({ key }) => key));
-    const gone = this.entries
-      .filter(({ key, revision: changed }) => !listed.has(key) && changed <= revision)
-      .map(({ key }) => ({ key, revision }));
-    const news = [...entries.filter((change) => this.#isNews(change)), ...gone];
-    this.#take(news);
-    this.#history.length = 0;
-    this.#historyAfter = revision;
-    this.revision = revision;
-    this.#notify(news);
+    const isReturn = !this.isEmpty && epochOf(position) > this.epoch;
+    const news = isReturn
+      ? this.#takeReturn(position, entries)
+      : this.#takeListing(position, entries);
+    this.#advance(positionOf(position), { epoch: epochOf(position), revision: 0 });
+    this.#tell(former, news);
+    return true;
+  }
+
+  /** What leads from a position to the present one, or undefined where that is no longer kept. */
+  deltaAfter(position: StorePosition): FleetDelta | undefined {
+    const changes = this.#history.since(position, this.epoch);
+    return changes && { ...this.#deltaHead(position), changes, kept: this.kept };
+  }
+
+  /** Everything, for who knows nothing that it could be told by. */
+  whole(): FleetDelta {
+    const words = this.#entries.words.map((change) => ({ ...change, isListed: true }));
+    return { ...this.#deltaHead(NO_POSITION), changes: [...this.entries, ...words] };
+  }
+
+  /** Ends the time after the store's return in which others write again what it had lost. */
+  settle(): void {
+    this.#notify(this.#entries.settle());
   }
 
-  /** What leads from a revision to the present one, or undefined where that is no longer kept. */
-  deltaAfter(revision: number): FleetDelta | undefined {
-    if (revision < this.#historyAfter) {
-      return undefined;
+  /** Each life of the store in turn: what is new of one, then what the next differs in. Of one that is over, only what is newer by itself. */
+  #takeByLives({ changes, kept = [] }: FleetDelta, upTo: StorePosition): FleetChange[] {
+    if (this.isEmpty) {
+      this.#entries.beginLife(epochOf(upTo), new Set());
     }
-    const changes = this.#history.filter((change) => change.revision > revision);
-    return { afterRevision: revision, revision: this.revision, changes };
+    if (this.isEmpty || epochOf(upTo) === this.epoch) {
+      return this.#take([...changes, ...kept]);
+    }
+    if (epochOf(upTo) < this.epoch) {
+      return this.#take(changes.filter((change) => this.#entries.isNewerByItself(change)));
+    }
+    const lives = new Set([...changes.map(epochOf), epochOf(upTo)]);
+    const news = [...lives]
+      .sort((one, other) => one - other)
+      .flatMap((life) => {
+        const ofLife = changes.filter((change) => epochOf(change) === life);
+        if (life > this.epoch) {
+          this.#beginLife(life, ofLife);
+        }
+        return this.#take(ofLife);
+      });
+    return [...news, ...this.#take(kept)];
+  }
+
+  #beginLife(epoch: number, changes: readonly FleetChange[]): void {
+    this.#history.endLife(this.position);
+    this.#entries.beginLife(epoch, new Set(changes.map(({ key }) => key)));
+    this.position = { epoch, revision: 0 };
+    this.lastChange = { epoch, revision: 0 };
   }
 
-  /** A configuration stays in force where what comes after it cannot be read; all else is gone then. */
-  #isNews({ key, revision, isUnreadable }: FleetChange): boolean {
-    const latest = this.#latest.get(key);
-    const isKept = isUnreadable === true && latest?.record?.kind === 'configuration';
-    return revision > (latest?.revision ?? 0) && !isKept;
+  /** Takes the first listing of the store's next life on, or what another host knows of it. */
+  #takeReturn(position: StorePosition, entries: readonly FleetChange[]): FleetChange[] {
+    const { epoch, revision } = positionOf(position);
+    const listed = entries.filter((change) => epochOf(change) === epoch);
+    const keptElsewhere = entries.filter((change) => epochOf(change) < epoch);
+    const keys = new Set(listed.map(({ key }) => key));
+    const changed = listed
+      .filter((change) => !this.#entries.isSame(change))
+      .map((change) => ({ ...change, isListed: true }));
+    const held = new Set([...this.entries, ...this.#entries.words].map(({ key }) => key));
+    const missing = [...held]
+      .filter((key) => !keys.has(key))
+      .map((key) => ({ key, epoch, revision, isListed: true }));
+    const difference = [...changed, ...missing].sort((one, other) => one.revision - other.revision);
+    this.#beginLife(epoch, difference);
+    this.#history.enter(position);
+    this.lastChange = positionOf(position);
+    return [...this.#take(difference), ...this.#take(keptElsewhere)];
   }
 
-  #take(news: readonly FleetChange[]): void {
-    for (const change of news) {
-      this.#forgetRecords(this.#latest.get(change.key)?.record, change.record);
-      this.#latest.set(change.key, change);
-      this.#history.push(change);
-      this.lastChange = Math.max(this.lastChange, change.revision);
+  /** Takes a listing of the life on that is known already. */
+  #takeListing(position: StorePosition, entries: readonly FleetChange[]): FleetChange[] {
+    const { epoch, revision } = positionOf(position);
+    if (this.isEmpty) {
+      this.#entries.beginLife(epoch, new Set());
     }
-    while (this.#history.length > KEPT_CHANGES) {
-      this.#historyAfter = this.#history.shift()?.revision ?? this.#historyAfter;
+    const ofThisLife = entries.filter((change) => epochOf(change) === epoch);
+    const listed = new Set(ofThisLife.map(({ key }) => key));
+    this.#entries.dropWords(listed);
+    const gone = this.entries
+      .filter((change) => !this.#entries.isOfFormerLife(change))
+      .filter(({ record }) => record?.kind !== 'configuration')
+      .filter(({ key, revision: changed }) => !listed.has(key) && changed <= revision)
+      .map(({ key }) => ({ key, epoch, revision }));
+    const news = this.#take(entries);
+    for (const change of gone) {
+      this.#put(change);
     }
+    this.#history.restart(positionOf(position));
+    return [...news, ...gone];
   }
 
-  /** The records of these kinds are put together anew when they are asked for. */
-  #forgetRecords(...changed: readonly (FleetRecord | undefined)[]): void {
-    for (const record of changed) {
-      if (record !== undefined) {
-        this.#records.delete(record.kind);
+  /** Takes over those changes that are news, one after the other. */
+  #take(changes: readonly FleetChange[]): FleetChange[] {
+    const news: FleetChange[] = [];
+    for (const change of changes) {
+      const isNews = this.#entries.isNews(change);
+      if (isNews) {
+        this.#put(change);
+        news.push(change);
+      }
+      // Others may know less of the key, and are to hear what the store holds. What is of a former life they hear as kept.
+      const isTold = isNews ? epochOf(change) === this.epoch : this.#entries.keepWord(change);
+      if (isTold) {
+        this.#history.add([change]);
+      }
+    }
+    return news;
+  }
+
+  #put(change: FleetChange): void {
+    this.#entries.put(change);
+    this.lastChange = laterOf(this.lastChange, positionOf(change));
+  }
+
+  #advance(position: StorePosition, lastChange: StorePosition): void {
+    this.position = laterOf(this.position, position);
+    this.lastChange = laterOf(this.lastChange, lastChange);
+  }
+
+  #deltaHead(after: StorePosition): Omit<FleetDelta, 'changes'> {
+    const { epoch, revision } = this;
+    const lastChange = this.lastChange.revision;
+    return {
+      afterEpoch: epochOf(after),
+      afterRevision: after.revision,
+      epoch,
+      revision,
+      lastChange,
+    };
+  }
+
+  #tell(former: StorePosition, news: readonly FleetChange[]): void {
+    if (this.epoch > epochOf(former) && former.revision > 0) {
+      const kept = this.kept.map(({ key }) => key);
+      const { missing } = this.#entries;
+      for (const listener of this.#returnListeners) {
+        listener({ former, position: this.position, kept, missing });
       }
     }
+    this.#notify(news);
   }
 
   #notify(news: readonly FleetChange[]): void {
--- a/packages/entry/src/fleet/store-health.ts
+++ b/packages/entry/src/fleet/store-health.ts
@@ -40,6 +40,13 @@
     }
   }
 
+  /** The store came back from a copy; targets write again what it had lost of them. */
+  recordReturn(): void {
+    if (!this.isLost) {
+      this.returnedAt = this.clock.now();
+    }
+  }
+
   recordFailure(call: string, detail: string): void {
     if (this.#lostAt !== undefined) {
       return;
--- a/packages/entry/src/fleet/store-watch.ts
+++ b/packages/entry/src/fleet/store-watch.ts
@@ -1,10 +1,13 @@
 import { BackgroundTasks, jittered } from '@ferrylock/utils';
 import type { Clock, Random } from '@ferrylock/utils';
 import type { EventLog } from '../events.js';
+import type { FleetChange } from './fleet-record.js';
 import type { FleetStore, FleetStoreFailure } from './fleet-store.js';
 import type { FleetView } from './fleet-view.js';
 import type { StoreHealth } from './store-health.js';
-import { StoreProgress } from './store-progress.js';
+import type { StorePosition } from './store-position.js';
+import { epochOf, isAfter } from './store-position.js';
+import { lifeOfAnswer, lifeOfListing, StoreProgress } from './store-progress.js';
 
 /** How long a watch waits at the store. Its end confirms that the store and the way to it work. */
 const WAIT_MILLISECONDS = 1_000;
@@ -18,6 +21,8 @@
 const IDLE_MILLISECONDS = 250;
 /** First pause after a failed call. */
 const RETRY_MILLISECONDS = 250;
+/** Between two times that a host reads everything, whatever the store answers. */
+const LISTING_PAUSE_MILLISECONDS = 500;
 
 export interface StoreWatchOptions {
   readonly clock: Clock;
@@ -28,12 +33,22 @@
   readonly health: StoreHealth;
   /** Whether this host is to wait at the store now, rather than hear from others who do. */
   readonly isNeeded: () => boolean;
+  /** How long this host lets others go before it reads everything anew, in milliseconds. */
+  readonly turnMilliseconds: () => number;
+}
+
+/** What the store answered, and when. */
+interface Answered {
+  readonly source: 'list' | 'watch';
+  readonly confirmedAt: number;
+  readonly changes: readonly FleetChange[];
 }
 
 /** Keeps the view up to date from the store itself, while this host is one of those who watch. */
 export class StoreWatch {
   readonly #options: StoreWatchOptions;
   readonly #tasks: BackgroundTasks;
+  #listedAt = -Infinity;
   /** What the store told, whether it was taken over or not. */
   readonly progress: StoreProgress;
 
@@ -58,66 +73,82 @@
         await clock.sleep(IDLE_MILLISECONDS, signal);
         continue;
       }
-      const failure = view.isEmpty ? await this.#list() : await this.#wait(signal);
-      if (failure?.kind === 'history-lost') {
-        await this.#list();
-      } else if (failure !== undefined) {
+      const asked = view.isEmpty ? await this.#list() : await this.#wait(signal);
+      const failure = asked?.kind === 'history-lost' ? await this.#readAnew(signal) : asked;
+      if (failure !== undefined) {
         await clock.sleep(jittered(random, RETRY_MILLISECONDS), signal);
       }
     }
   }
 
+  /**
+   * Reads everything, in this host's turn. Hosts that come later mostly hear of it from those before, and the store is not asked
+   * for everything by all of them at once, nor again and again by one.
+   */
+  async #readAnew(signal: AbortSignal): Promise<FleetStoreFailure | undefined> {
+    const { clock, random, view, turnMilliseconds } = this.#options;
+    const known = view.position;
+    const rest = this.#listedAt + jittered(random, LISTING_PAUSE_MILLISECONDS) - clock.now();
+    await clock.sleep(Math.max(turnMilliseconds(), rest), signal);
+    return isAfter(view.position, known) || signal.aborted ? undefined : this.#list();
+  }
+
   /** Reads everything. */
   async #list(): Promise<FleetStoreFailure | undefined> {
     const { clock, store, view } = this.#options;
     const askedAt = clock.now();
+    const known = view.position;
+    this.#listedAt = askedAt;
     const listing = await store.list();
     if (listing.isErr()) {
       return this.#failed('list', listing.error);
     }
-    const { revision, changes } = listing.value;
+    const { revision } = listing.value;
+    const epoch = lifeOfListing(listing.value, known);
+    const changes = listing.value.changes.map((change) => ({ ...change, epoch }));
     const knownRevision = view.revision;
     this.progress.record(listing.value, knownRevision);
-    view.replace(revision, changes);
-    this.progress.recordListing(revision >= knownRevision, knownRevision);
-    this.#succeeded(
-      'list',
-      revision,
-      askedAt,
-      changes.map(({ key }) => key),
-    );
+    const isTaken = view.replace({ epoch, revision }, changes);
+    this.progress.recordListing(isTaken, knownRevision);
+    this.#succeeded({ epoch, revision }, { source: 'list', confirmedAt: askedAt, changes });
     return undefined;
   }
 
   async #wait(signal: AbortSignal): Promise<FleetStoreFailure | undefined> {
     const { clock, store, view } = this.#options;
     const askedAt = clock.now();
-    const after = view.revision;
-    const answer = await store.waitForChanges(after, WAIT_MILLISECONDS);
+    const after = view.position;
+    const answer = await store.waitForChanges(after.revision, WAIT_MILLISECONDS);
     if (answer.isErr()) {
       return this.#failed('watch', answer.error);
     }
-    const { revision, changes } = answer.value;
+    const { revision } = answer.value;
+    const epoch = lifeOfAnswer(answer.value.epoch, after);
     this.progress.record(answer.value, view.revision);
-    view.apply({ afterRevision: after, revision, changes });
-    this.#succeeded(
-      'watch',
-      revision,
-      answeredAt(askedAt, clock.now()),
-      changes.map(({ key }) => key),
-    );
+    if (epoch !== epochOf(after) || revision < after.revision) {
+      // The numbers after which changes were asked for are of another life than the answer's.
+      return { kind: 'history-lost', message: 'the store has come back from a copy' };
+    }
+    const changes = answer.value.changes.map((change) => ({ ...change, epoch }));
+    const [afterEpoch, afterRevision] = [epoch, after.revision];
+    view.apply({ afterEpoch, afterRevision, epoch, revision, changes });
+    const confirmedAt = answeredAt(askedAt, clock.now());
+    this.#succeeded({ epoch, revision }, { source: 'watch', confirmedAt, changes });
     if (changes.length > 0) {
       await clock.sleep(GATHER_MILLISECONDS, signal);
     }
     return undefined;
   }
 
-  #succeeded(source: string, revision: number, confirmedAt: number, changes: string[]): void {
+  #succeeded(position: StorePosition, { source, confirmedAt, changes }: Answered): void {
     const { view, health, events } = this.#options;
-    view.confirm(view.lastChange, confirmedAt);
+    if (view.epoch === epochOf(position)) {
+      view.confirm(view.lastChange, confirmedAt);
+    }
     health.recordSuccess(confirmedAt);
     if (changes.length > 0) {
-      events.write({ event: 'view', source, revision, changes });
+      const keys = changes.map(({ key }) => key);
+      events.write({ event: 'view', source, revision: position.revision, changes: keys });
     }
   }
 
--- a/packages/entry/src/peers/message-writer.ts
+++ b/packages/entry/src/peers/message-writer.ts
@@ -4,6 +4,8 @@
 import type { AccountDuty } from '../accounts/account-duty.js';
 import type { EntryHostRecord } from '../fleet/fleet-record.js';
 import type { FleetDelta, FleetView } from '../fleet/fleet-view.js';
+import type { StorePosition } from '../fleet/store-position.js';
+import { isAfter } from '../fleet/store-position.js';
 import type { LimitDuty } from '../limits/limit-duty.js';
 import type { SuspectDuty } from '../suspects/suspect-duty.js';
 import { encodeAccountUsage } from './account-rows.js';
@@ -84,9 +86,9 @@
   /**
    * A relay's digest of its own failure domain, for the others' relays.
    *
-   * @param knownToAll - revision of a change that all who get it know
+   * @param knownToAll - a change that all who get it know
    */
-  domainDigest(knownToAll: number): string {
+  domainDigest(knownToAll: StorePosition): string {
     const { loads, accounts, own } = this.#options;
     const inFlight = loads.sum(loadSource.isHost, this.#inFlight);
     const usage = accounts.usage.sum(loadSource.isHost, this.#usage);
@@ -102,10 +104,10 @@
   /**
    * A relay's digest of the whole fleet, for its own failure domain.
    *
-   * @param knownToAll - revision of a change that all who get it know
+   * @param knownToAll - a change that all who get it know
    * @param tellsLoads - whether those who get it have requests, which they send by targets' loads
    */
-  fleetDigest(knownToAll: number, tellsLoads: boolean): string {
+  fleetDigest(knownToAll: StorePosition, tellsLoads: boolean): string {
     const { loads, accounts } = this.#options;
     const usage = accounts.usage.sum(loadSource.isPart, this.#usage);
     const inFlight = tellsLoads ? loads.onlyBusy(loads.sum(loadSource.isPart, this.#inFlight)) : {};
@@ -120,7 +122,7 @@
     });
   }
 
-  #digest(method: string, knownToAll: number, content: Record<string, unknown>): string {
+  #digest(method: string, knownToAll: StorePosition, content: Record<string, unknown>): string {
     const news = this.#newsAfter(knownToAll);
     const params = {
       from: this.#options.own.name,
@@ -181,7 +183,9 @@
     const accountRows = encodeAccountUsage(usage);
     return {
       controlAddress: own.controlAddress,
-      lastChange: view.lastChange,
+      lastChange: view.lastChange.revision,
+      ...(view.epoch === 0 ? {} : { epoch: view.epoch }),
+      ...(view.keptMark === undefined ? {} : { kept: view.keptMark }),
       ...(newest === undefined ? {} : { storeAnswer: newest }),
       inFlight: encodeInFlight(inFlight),
       remembered: Math.round(accounts.rememberedMilliseconds),
@@ -217,9 +221,9 @@
     return [this.#ownStatus(), ...fellows];
   }
 
-  #newsAfter(revision: number): FleetDelta | undefined {
+  #newsAfter(position: StorePosition): FleetDelta | undefined {
     const { view } = this.#options;
-    const delta = revision >= view.lastChange ? undefined : view.deltaAfter(revision);
+    const delta = isAfter(view.lastChange, position) ? view.deltaAfter(position) : undefined;
     return delta !== undefined && delta.changes.length <= MOST_NEWS ? delta : undefined;
   }
 
@@ -233,7 +237,8 @@
     this.#toldAnswerAt = answeredAt;
     const { name, incarnation } = own;
     const ageMilliseconds = clock.now() - answeredAt;
-    const { lastChange } = view;
-    answers.take({ name, incarnation, sequence: this.#sequence, lastChange, ageMilliseconds });
+    const { epoch, revision: lastChange } = view.lastChange;
+    const sequence = this.#sequence;
+    answers.take({ name, incarnation, sequence, lastChange, epoch, ageMilliseconds });
   }
 }
--- a/packages/entry/src/peers/peer-client.ts
+++ b/packages/entry/src/peers/peer-client.ts
@@ -4,6 +4,8 @@
 import type { Result } from 'ts-results-es';
 import { Agent } from 'undici';
 import { z } from 'zod';
+import type { StorePosition } from '../fleet/store-position.js';
+import { epochOf } from '../fleet/store-position.js';
 import type { PeerCalls } from './peer-calls.js';
 import type { DeltaResult } from './peer-messages.js';
 import { DELTA_METHOD, deltaResultSchema } from './peer-messages.js';
@@ -28,8 +30,9 @@
   });
   #nextId = 1;
 
-  async delta(address: string, afterRevision: number): Promise<Result<DeltaResult, string>> {
-    const answer = await this.#call(address, DELTA_METHOD, { afterRevision });
+  async delta(address: string, after: StorePosition): Promise<Result<DeltaResult, string>> {
+    const params = { afterRevision: after.revision, afterEpoch: epochOf(after) };
+    const answer = await this.#call(address, DELTA_METHOD, params);
     return answer.andThen((result) => {
       const parsed = deltaResultSchema.safeParse(result);
       return parsed.success ? Ok(parsed.data) : Err(`unexpected answer: ${parsed.error.message}`);
--- a/packages/entry/src/peers/peer-exchange.ts
+++ b/packages/entry/src/peers/peer-exchange.ts
@@ -2,6 +2,8 @@
 import { z } from 'zod';
 import type { EventLog } from '../events.js';
 import type { EntryHostRecord } from '../fleet/fleet-record.js';
+import type { StorePosition } from '../fleet/store-position.js';
+import { isAfter, positionOf } from '../fleet/store-position.js';
 import type { Datagrams, OpenDatagrams } from './datagrams.js';
 import type { NewsSource } from '../suspects/suspect-duty.js';
 import type { HostStatus } from './host-status.js';
@@ -38,6 +40,9 @@
 /** Shortest time between two rounds, however much changes. */
 const SHORTEST_ROUND_MILLISECONDS = 40;
 
+/** What a host knows that has told nothing: nobody is told news for its sake. */
+const UNTOLD: StorePosition = { epoch: Infinity, revision: Infinity };
+
 const messageSchema = z.discriminatedUnion('method', [
   z.object({ method: z.literal(REPORT_METHOD), params: hostReportSchema }),
   z.object({ method: z.literal(DIGEST_METHOD), params: digestSchema }),
@@ -69,7 +74,9 @@
   readonly #tasks: BackgroundTasks;
   readonly #answers: StoreAnswers;
   /** Newest change that each host is known to know, by its name. */
-  readonly #lastChanges = new Map<string, number>();
+  readonly #lastChanges = new Map<string, StorePosition>();
+  /** What was asked for last of what each host keeps beyond the store, by its name. */
+  readonly #fetchedKept = new Map<string, string>();
   #running: Running | undefined;
   /** Whether others rely on this host to pass on what it hears, as of the last round. */
   #isRelay = false;
@@ -90,6 +97,9 @@
         this.report();
       }
     });
+    options.view.onReturn(() => {
+      this.report();
+    });
   }
 
   listen(address: string): Promise<string> {
@@ -208,7 +218,7 @@
   #takeNews(digest: Digest | FleetDigest): void {
     const { view, changes } = this.#options;
     const { from, news } = digest;
-    if (news !== undefined && news.revision > view.revision && view.apply(news)) {
+    if (news !== undefined && isAfter(news, view.position) && view.apply(news)) {
       changes.logView(from, news);
     }
     this.#takeKnowledge(from, digest);
@@ -228,14 +238,30 @@
   /** Fetches what a peer knows beyond this host; takes what it tells of the store's answers. */
   #takeKnowledge(name: string, knowledge: Knowledge): void {
     const { view, changes, suspects } = this.#options;
-    const { lastChange, storeAnswer, controlAddress } = knowledge;
+    const { lastChange: revision, epoch, storeAnswer, controlAddress } = knowledge;
+    const lastChange = positionOf({ epoch, revision });
     suspects.take(knowledge.suspects ?? []);
     this.#lastChanges.set(name, lastChange);
     const answeredAt = storeAnswer === undefined ? undefined : this.#answers.take(storeAnswer);
-    if (lastChange > view.lastChange) {
+    if (isAfter(lastChange, view.lastChange)) {
       changes.fetchUnlessUnderWay(controlAddress);
-    } else if (storeAnswer !== undefined && answeredAt !== undefined) {
-      view.confirm(storeAnswer.lastChange, answeredAt);
+      return;
+    }
+    this.#takeKept(name, knowledge);
+    if (storeAnswer !== undefined && answeredAt !== undefined) {
+      const answered = { epoch: storeAnswer.epoch, revision: storeAnswer.lastChange };
+      view.confirm(answered, answeredAt);
+    }
+  }
+
+  /** Fetches what a peer keeps beyond a store that came back from a copy, where that is not the same here. */
+  #takeKept(name: string, { epoch, kept, controlAddress }: Knowledge): void {
+    const { view, changes } = this.#options;
+    const isOther = kept !== undefined && kept !== view.keptMark && epoch === view.epoch;
+    if (isOther && this.#fetchedKept.get(name) !== kept) {
+      if (changes.fetchUnlessUnderWay(controlAddress)) {
+        this.#fetchedKept.set(name, kept);
+      }
     }
   }
 
@@ -269,7 +295,7 @@
     }
   }
 
-  #send(hosts: readonly EntryHostRecord[], write: (knownToAll: number) => string): void {
+  #send(hosts: readonly EntryHostRecord[], write: (knownToAll: StorePosition) => string): void {
     if (hosts.length > 0) {
       const text = write(this.#knownToAll(hosts));
       for (const { reportAddress } of hosts) {
@@ -279,7 +305,9 @@
   }
 
   /** Newest change that all of these hosts know, as far as they have told. */
-  #knownToAll(hosts: readonly EntryHostRecord[]): number {
-    return Math.min(...hosts.map(({ name }) => this.#lastChanges.get(name) ?? Infinity));
+  #knownToAll(hosts: readonly EntryHostRecord[]): StorePosition {
+    return hosts
+      .map(({ name }) => this.#lastChanges.get(name) ?? UNTOLD)
+      .reduce((least, known) => (isAfter(least, known) ? known : least), UNTOLD);
   }
 }
--- a/packages/entry/src/peers/peer-messages.ts
+++ b/packages/entry/src/peers/peer-messages.ts
@@ -18,18 +18,29 @@
 /** Name of the call that asks a peer for what it knows of the store. */
 export const DELTA_METHOD = 'entry.delta';
 
+/** Which life of the store a revision belongs to. */
+const epochSchema = z.number().int().nonnegative();
+
 export const deltaParamsSchema = z.object({
   /** Revision of the newest change that the caller knows; 0 asks for everything. */
   afterRevision: z.number().int(),
+  /** The store's life that it is of; absent, as 0, before the store tells of any return. */
+  afterEpoch: epochSchema.optional(),
 });
 
 /** What leads from the caller's revision to the peer's, or everything where that is unknown. */
 export const deltaResultSchema = z.object({
   isWhole: z.boolean(),
+  afterEpoch: epochSchema.optional(),
   afterRevision: z.number().int(),
+  epoch: epochSchema.optional(),
   revision: z.number().int(),
+  /** Revision of the newest change that the peer knows, where that may be none of these. */
+  lastChange: z.number().int().optional(),
   answeredAgeMilliseconds: z.number().optional(),
   changes: z.array(fleetChangeSchema),
+  /** What the peer knows beyond the store's present life; absent where that is nothing. */
+  kept: z.array(fleetChangeSchema).optional(),
 });
 
 /** What every message between hosts tells of the store and of targets. */
@@ -38,6 +49,10 @@
   controlAddress: z.string(),
   /** Revision of the newest change of the store that the sender knows. */
   lastChange: z.number().int(),
+  /** The store's life that it is of; absent, as 0, before the store tells of any return. */
+  epoch: epochSchema.optional(),
+  /** Names what the sender knows beyond a store that came back from a copy; absent where that is nothing. */
+  kept: z.string().optional(),
   /** The newest answer of the store that the sender knows of; absent where there was none. */
   storeAnswer: storeAnswerSchema.optional(),
   inFlight: inFlightSchema,
--- a/packages/entry/src/peers/store-answers.ts
+++ b/packages/entry/src/peers/store-answers.ts
@@ -8,8 +8,9 @@
   incarnation: z.string(),
   /** Its report that told so first. */
   sequence: z.number().int(),
-  /** Revision of the newest change that it knew then. */
+  /** Revision of the newest change that it knew then, and the store's life; absent, as 0, before the store tells of any return. */
   lastChange: z.number().int(),
+  epoch: z.number().int().nonnegative().optional(),
   ageMilliseconds: z.number(),
 });
 
@@ -47,7 +48,7 @@
 
   /** Takes an answer that was heard of; tells when it was given, or undefined where it is not new. */
   take(answer: StoreAnswer): number | undefined {
-    const { name, incarnation, sequence, lastChange, ageMilliseconds } = answer;
+    const { name, incarnation, sequence, lastChange, epoch, ageMilliseconds } = answer;
     const taken = this.#taken.get(name);
     if (taken?.incarnation === incarnation && taken.sequence >= sequence) {
       return undefined;
@@ -55,7 +56,7 @@
     this.#taken.set(name, { incarnation, sequence });
     const at = this.#clock.now() - ageMilliseconds;
     if (at > (this.#newest?.at ?? -Infinity)) {
-      this.#newest = { name, incarnation, sequence, lastChange, at };
+      this.#newest = { name, incarnation, sequence, lastChange, epoch, at };
     }
     return at;
   }
--- a/packages/entry/src/peers/view-exchange.ts
+++ b/packages/entry/src/peers/view-exchange.ts
@@ -1,6 +1,8 @@
 import type { Clock } from '@ferrylock/utils';
 import type { EventLog } from '../events.js';
 import type { FleetView } from '../fleet/fleet-view.js';
+import type { StorePosition } from '../fleet/store-position.js';
+import { epochOf } from '../fleet/store-position.js';
 import type { PeerCalls } from './peer-calls.js';
 import type { DeltaParams, DeltaResult } from './peer-messages.js';
 
@@ -30,51 +32,66 @@
   }
 
   /** Answers a peer that asks for what it does not know yet. */
-  deltaFor({ afterRevision }: DeltaParams): DeltaResult {
+  deltaFor({ afterRevision, afterEpoch }: DeltaParams): DeltaResult {
     const { view } = this.#options;
     const age = this.#answeredAge();
-    const delta = afterRevision === 0 ? undefined : view.deltaAfter(afterRevision);
-    const known = delta ?? { afterRevision: 0, revision: view.revision, changes: view.entries };
+    const after = { epoch: afterEpoch, revision: afterRevision };
+    const isFurther = epochOf(after) > view.epoch;
+    const delta = afterRevision === 0 || isFurther ? undefined : view.deltaAfter(after);
+    const { kept = [], ...known } = delta ?? view.whole();
     return {
       isWhole: delta === undefined,
       ...known,
       changes: [...known.changes],
+      ...(kept.length === 0 ? {} : { kept: [...kept] }),
       ...(age === undefined ? {} : { answeredAgeMilliseconds: age }),
     };
   }
 
   /** Asks a peer, by its address, for what it knows beyond this host; tells whether it helped. */
   async fetchFrom(address: string): Promise<boolean> {
-    const { view, client, clock } = this.#options;
+    const { view, clock } = this.#options;
     const askedAt = clock.now();
-    const answer = await client.delta(address, view.lastChange);
-    if (answer.isErr() || answer.value.revision === 0) {
-      return false;
+    const answer = await this.ask(address, view.position);
+    if (answer !== undefined) {
+      this.take(address, answer, askedAt);
     }
-    const { isWhole, revision, changes, answeredAgeMilliseconds } = answer.value;
+    return answer !== undefined;
+  }
+
+  /** What a peer knows beyond a position; undefined where it does not answer, or knows nothing. */
+  async ask(address: string, after: StorePosition): Promise<DeltaResult | undefined> {
+    const answer = await this.#options.client.delta(address, after);
+    return answer.isErr() || answer.value.revision === 0 ? undefined : answer.value;
+  }
+
+  /** Takes over what a peer answered. */
+  take(address: string, answer: DeltaResult, askedAt: number): void {
+    const { view } = this.#options;
+    const { isWhole, epoch, revision, changes, answeredAgeMilliseconds } = answer;
     if (isWhole) {
-      view.replace(revision, changes);
+      view.replace({ epoch, revision }, changes);
     } else {
-      view.apply(answer.value);
+      view.apply(answer);
     }
-    if (answeredAgeMilliseconds !== undefined) {
+    if (answeredAgeMilliseconds !== undefined && epochOf(answer) === view.epoch) {
       view.confirm(view.lastChange, askedAt - answeredAgeMilliseconds);
     }
-    this.logView(address, answer.value);
-    return true;
+    this.logView(address, answer);
   }
 
-  /** Asks a peer, by its address, unless a call is under way or has just been. */
-  fetchUnlessUnderWay(address: string): void {
+  /** Asks a peer, by its address, unless a call is under way or has just been; tells whether it does. */
+  fetchUnlessUnderWay(address: string): boolean {
     const now = this.#options.clock.now();
     if (this.#isFetching || now - this.#fetchedAt < FETCH_PAUSE_MILLISECONDS) {
-      return;
+      return false;
     }
     this.#fetchedAt = now;
     this.#isFetching = true;
     void this.fetchFrom(address).finally(() => {
       this.#isFetching = false;
     });
+    return true;
   }
 
   /** Writes which keys others' news was about. */
--- a/packages/entry/src/watch-duty.ts
+++ b/packages/entry/src/watch-duty.ts
@@ -13,6 +13,10 @@
 const STAGGER_MILLISECONDS = 30;
 /** Longest that a host waits for those ranked before it. */
 const LONGEST_STAGGER_MILLISECONDS = 300;
+/** The same before it reads everything anew: the others hear of it within some tenths of a second. */
+const LONGEST_TURN_MILLISECONDS = 1_000;
+/** Between the turns of two hosts to read everything anew. */
+const TURN_STEP_MILLISECONDS = 60;
 
 export interface WatchDutyOptions {
   readonly clock: Clock;
@@ -49,14 +53,23 @@
     return isRelay() && watchOrder(relayNames()).slice(0, WATCHERS).includes(ownName);
   }
 
+  /** How long this host lets others go before it reads everything anew. */
+  get turnMilliseconds(): number {
+    return Math.min(LONGEST_TURN_MILLISECONDS, this.#ownRank() * TURN_STEP_MILLISECONDS);
+  }
+
   #stagger(): number {
+    return Math.min(LONGEST_STAGGER_MILLISECONDS, this.#ownRank() * STAGGER_MILLISECONDS);
+  }
+
+  #ownRank(): number {
     const { hostNames, ownName } = this.#options;
     const hosts = hostNames();
     if (hosts !== this.#rankedHosts) {
       this.#rankedHosts = hosts;
       this.#rank = watchOrder(hosts).indexOf(ownName);
     }
-    return Math.min(LONGEST_STAGGER_MILLISECONDS, this.#rank * STAGGER_MILLISECONDS);
+    return this.#rank;
   }
 }
 
--- a/packages/entry/tests/directory.test.ts
+++ b/packages/entry/tests/directory.test.ts
@@ -22,7 +22,7 @@
     ...Array.from({ length: small }, (_, index) => `small-${index}`),
   ];
   view.replace(
-    1,
+    { revision: 1 },
     names.map((name) =>
       hostChange(1, {
         name,
--- /dev/null
+++ b/packages/entry/tests/fleet/view-return.test.ts
@@ -0,0 +1,347 @@
+/** What a host makes of news of several lives of the store, in whatever order they come. */
+import { randomIndex, SeededRandom } from '@ferrylock/utils';
+import type { Random } from '@ferrylock/utils';
+import { describe, expect, it } from 'vitest';
+import type { FleetChange, FleetRecord } from '../../src/index.js';
+import { FleetView } from '../../src/index.js';
+import type { StoreReturn } from '../../src/fleet/fleet-view.js';
+import type { StorePosition } from '../../src/fleet/store-position.js';
+import { configurationChange, hostChange, targetChange } from '../fixtures.js';
+
+/** Beside the first ones, those that showed what the first ones did not. */
+const SEEDS = [...Array.from({ length: 200 }, (_, index) => index + 1), 891, 1059, 2064, 2262];
+const STEPS = 120;
+
+function at(epoch: number, change: FleetChange): FleetChange {
+  return { ...change, epoch };
+}
+
+function versionOf(view: FleetView): number | undefined {
+  return view.records('configuration')[0]?.configuration.version;
+}
+
+/** What the copy holds. */
+const LISTED = [
+  configurationChange(3, { version: 3 }),
+  targetChange(2, { bornAt: 1, sequence: 1 }),
+  hostChange(1, { name: 'old' }),
+];
+
+/** A host that knew version 4 when the store came back with version 3. */
+function makeReturned() {
+  const view = new FleetView();
+  const returns: StoreReturn[] = [];
+  view.onReturn((returned) => returns.push(returned));
+  view.replace(
+    { epoch: 1, revision: 3 },
+    LISTED.map((change) => at(1, change)),
+  );
+  view.apply({
+    afterEpoch: 1,
+    afterRevision: 3,
+    epoch: 1,
+    revision: 9,
+    changes: [
+      at(1, configurationChange(7, { version: 4 })),
+      at(1, targetChange(8, { bornAt: 1, state: 'draining', sequence: 9 })),
+      at(1, hostChange(9, { name: 'new' })),
+    ],
+  });
+  view.replace(
+    { epoch: 2, revision: 5 },
+    LISTED.map((change) => at(2, change)),
+  );
+  return { view, returns };
+}
+
+function namesIn(view: FleetView): string[] {
+  return view.records('entryHost').map(({ host }) => host.name);
+}
+
+/** Has one host learn from another what a call between them carries. */
+function learn(from: FleetView, to: FleetView): void {
+  const isFurther = to.epoch > from.epoch;
+  const delta = isFurther || to.isEmpty ? undefined : from.deltaAfter(to.position);
+  if (delta === undefined) {
+    const whole = from.whole();
+    to.replace({ epoch: whole.epoch, revision: whole.revision }, whole.changes);
+  } else {
+    to.apply(delta);
+  }
+}
+
+describe('FleetView of a store that came back from a copy', () => {
+  it('goes by the next life, though its revisions are lower', () => {
+    const { view, returns } = makeReturned();
+    expect(view.position).toEqual({ epoch: 2, revision: 5 });
+    view.apply({
+      afterEpoch: 2,
+      afterRevision: 5,
+      epoch: 2,
+      revision: 6,
+      changes: [at(2, configurationChange(6, { version: 5 }))],
+    });
+    expect(versionOf(view)).toBe(5);
+    expect(returns).toMatchObject([
+      {
+        former: { epoch: 1, revision: 9 },
+        position: { epoch: 2, revision: 5 },
+        kept: ['configuration', 'targets/target-1', 'hosts/new'],
+        missing: ['hosts/new'],
+      },
+    ]);
+  });
+
+  it('keeps what is newer by its own numbers, and the hosts that the copy lacks, until they are written again or all have had time to', () => {
+    const { view } = makeReturned();
+    expect(versionOf(view)).toBe(4);
+    expect(view.records('target')[0]?.target.state).toBe('draining');
+    expect(namesIn(view)).toEqual(['old', 'new']);
+    const mark = view.keptMark;
+    expect(mark).toBeDefined();
+    const written = [
+      at(2, configurationChange(6, { version: 4 })),
+      at(2, targetChange(7, { bornAt: 1, state: 'draining', sequence: 10 })),
+    ];
+    view.apply({
+      afterEpoch: 2,
+      afterRevision: 5,
+      epoch: 2,
+      revision: 7,
+      changes: written,
+    });
+    expect(view.kept.map(({ key }) => key)).toEqual(['hosts/new']);
+    expect(view.keptMark).not.toBe(mark);
+    view.settle();
+    expect(namesIn(view)).toEqual(['old']);
+    expect([versionOf(view), view.keptMark]).toEqual([4, undefined]);
+  });
+
+  it('never gives up a configuration that is not written again', () => {
+    const { view } = makeReturned();
+    view.settle();
+    view.replace({ epoch: 2, revision: 8 }, [at(2, configurationChange(3, { version: 3 }))]);
+    expect(versionOf(view)).toBe(4);
+    view.replace({ epoch: 3, revision: 2 }, []);
+    view.settle();
+    expect(versionOf(view)).toBe(4);
+  });
+
+  it('takes from news of a life that is over only what is newer by its own numbers', () => {
+    const { view } = makeReturned();
+    view.apply({
+      afterEpoch: 1,
+      afterRevision: 8,
+      epoch: 1,
+      revision: 12,
+      changes: [
+        at(1, configurationChange(10, { version: 5 })),
+        at(1, hostChange(11, { name: 'late' })),
+        at(1, { key: 'hosts/old', revision: 12 }),
+      ],
+    });
+    expect(view.position).toEqual({ epoch: 2, revision: 5 });
+    expect(versionOf(view)).toBe(5);
+    expect(namesIn(view)).toEqual(['old', 'new']);
+  });
+
+  it('does not believe a listing that brings back what was gone, until it outlasts those who would write it', () => {
+    const view = new FleetView();
+    view.replace({ epoch: 1, revision: 3 }, [
+      at(1, targetChange(2)),
+      at(1, hostChange(3, { name: 'left' })),
+    ]);
+    const gone = [
+      { key: 'targets/target-1', epoch: 1, revision: 6 },
+      { key: 'hosts/left', epoch: 1, revision: 7 },
+    ];
+    view.apply({ afterEpoch: 1, afterRevision: 3, epoch: 1, revision: 7, changes: gone });
+    view.replace({ epoch: 2, revision: 4 }, [
+      at(2, targetChange(2)),
+      at(2, hostChange(3, { name: 'left' })),
+    ]);
+    expect([view.records('target'), namesIn(view)]).toEqual([[], []]);
+    view.apply({
+      afterEpoch: 2,
+      afterRevision: 4,
+      epoch: 2,
+      revision: 5,
+      changes: [{ key: 'targets/target-1', epoch: 2, revision: 5 }],
+    });
+    view.settle();
+    expect([view.records('target'), namesIn(view)]).toEqual([[], ['left']]);
+  });
+
+  it('takes another start of a host that is listed at once, and not the one before the start that it knows', () => {
+    const view = new FleetView();
+    view.replace({ epoch: 1, revision: 3 }, [at(1, hostChange(3, { incarnation: 'first' }))]);
+    const second = at(1, hostChange(5, { incarnation: 'second' }));
+    view.apply({ afterEpoch: 1, afterRevision: 3, epoch: 1, revision: 5, changes: [second] });
+    view.replace({ epoch: 2, revision: 4 }, [at(2, hostChange(3, { incarnation: 'first' }))]);
+    expect(view.records('entryHost')[0]?.host.incarnation).toBe('second');
+    view.replace({ epoch: 3, revision: 4 }, [at(3, hostChange(4, { incarnation: 'third' }))]);
+    expect(view.records('entryHost')[0]?.host.incarnation).toBe('third');
+  });
+
+  it('tells those who knew less of the life before what they lack, and those who knew more everything', () => {
+    const { view } = makeReturned();
+    const less = new FleetView();
+    less.replace(
+      { epoch: 1, revision: 3 },
+      LISTED.map((change) => at(1, change)),
+    );
+    expect(view.deltaAfter({ epoch: 1, revision: 12 })).toBeUndefined();
+    expect(view.deltaAfter({ epoch: 1, revision: 9 })?.changes.length).toBeGreaterThan(0);
+    learn(view, less);
+    expect([versionOf(less), less.position]).toEqual([4, view.position]);
+    expect(less.lastChange).toEqual(view.lastChange);
+    expect(namesIn(less).sort()).toEqual(namesIn(view).sort());
+  });
+});
+
+/** A store with several writers, which comes back from copies of itself. */
+class CopiedStore {
+  position = { epoch: 1, revision: 1 };
+  entries = new Map<string, FleetChange>();
+  history: FleetChange[] = [];
+  version = 1;
+  #copies: { revision: number; entries: Map<string, FleetChange>; history: FleetChange[] }[] = [];
+
+  constructor(readonly random: Random) {
+    this.#write('configuration', configurationChange(0, { version: 1 }).record);
+  }
+
+  act(): void {
+    const key = `target-${randomIndex(this.random, 4)}`;
+    const name = `host-${randomIndex(this.random, 3)}`;
+    const sequence = this.position.epoch * 1_000 + this.position.revision;
+    const incarnation = `start-${sequence}`;
+    const acts: readonly (() => void)[] = [
+      () => {
+        this.version++;
+        this.writeConfiguration();
+      },
+      () => {
+        this.#write(`targets/${key}`, targetChange(0, { id: key, bornAt: 1, sequence }).record);
+      },
+      () => {
+        this.#write(`targets/${key}`);
+      },
+      () => {
+        this.#write(`hosts/${name}`, hostChange(0, { name, incarnation }).record);
+      },
+      () => {
+        this.#write(`hosts/${name}`);
+      },
+      () => {
+        const { revision } = this.position;
+        this.#copies.push({ revision, entries: new Map(this.entries), history: [...this.history] });
+      },
+    ];
+    acts[randomIndex(this.random, acts.length)]?.();
+  }
+
+  /** The operator and the targets that live write again what they had written. */
+  writeAgain(): void {
+    this.writeConfiguration();
+    for (const { record } of [...this.entries.values()]) {
+      if (record?.kind === 'target') {
+        const sequence = this.position.epoch * 1_000 + this.position.revision;
+        const target = { ...record.target, sequence };
+        this.#write(`targets/${target.id}`, { kind: 'target', target });
+      }
+    }
+  }
+
+  writeConfiguration(): void {
+    this.#write('configuration', configurationChange(0, { version: this.version }).record);
+  }
+
+  comeBack(): void {
+    const copy = this.#copies.pop();
+    if (copy !== undefined) {
+      this.position = { epoch: this.position.epoch + 1, revision: copy.revision };
+      this.entries = copy.entries;
+      this.history = copy.history;
+      this.#copies = [];
+    }
+  }
+
+  list(): FleetChange[] {
+    return [...this.entries.values()].map((change) => at(this.position.epoch, change));
+  }
+
+  /** Has a host do what it does at the store: wait for changes, or read everything where its numbers are of no use. */
+  tell(view: FleetView): void {
+    const { epoch, revision } = view.position;
+    const isKnown = epoch === this.position.epoch && revision <= this.position.revision;
+    if (view.isEmpty || !isKnown) {
+      view.replace(this.position, this.list());
+      return;
+    }
+    const changes = this.history.filter((change) => change.revision > revision);
+    view.apply({
+      afterEpoch: epoch,
+      afterRevision: revision,
+      ...this.position,
+      changes: changes.map((change) => at(this.position.epoch, change)),
+    });
+  }
+
+  #write(key: string, record?: FleetRecord): void {
+    if (record === undefined && !this.entries.has(key)) {
+      return;
+    }
+    this.position.revision++;
+    const change = { key, revision: this.position.revision, ...(record && { record }) };
+    if (record === undefined) {
+      this.entries.delete(key);
+    } else {
+      this.entries.set(key, change);
+    }
+    this.history.push(change);
+  }
+}
+
+function contentOf(entries: readonly FleetChange[]): string[] {
+  return entries.map(({ key, record }) => `${key} ${JSON.stringify(record)}`).sort();
+}
+
+describe('hosts that learn of a store’s returns in any order', () => {
+  it.each(SEEDS)(
+    'never go back to an older configuration, and know what the store holds once all is written again (seed %i)',
+    (seed) => {
+      const random = new SeededRandom(seed);
+      const store = new CopiedStore(random);
+      const views = Array.from({ length: 4 }, () => new FleetView());
+      const pick = (): FleetView => views[randomIndex(random, views.length)] ?? new FleetView();
+      const newest = views.map(() => 0);
+      const furthest: StorePosition[] = views.map((view) => view.position);
+      for (let step = 0; step < STEPS; step++) {
+        const chance = random.next();
+        if (chance < 0.4) {
+          store.act();
+        } else if (chance < 0.43) {
+          store.comeBack();
+        } else if (chance < 0.7) {
+          store.tell(pick());
+        } else {
+          learn(pick(), pick());
+        }
+        views.forEach((view, index) => {
+          const version = versionOf(view) ?? 0;
+          expect(version).toBeGreaterThanOrEqual(newest[index] ?? 0);
+          newest[index] = version;
+          expect(view.position.epoch).toBeGreaterThanOrEqual(furthest[index]?.epoch ?? 0);
+          furthest[index] = view.position;
+        });
+      }
+      store.writeAgain();
+      for (const view of views) {
+        store.tell(view);
+        view.settle();
+        expect(contentOf(view.entries)).toEqual(contentOf(store.list()));
+      }
+    },
+  );
+});
--- a/packages/entry/tests/peers/relay-plan.test.ts
+++ b/packages/entry/tests/peers/relay-plan.test.ts
@@ -35,7 +35,7 @@
   const view = new FleetView();
   const hosts = makeHosts(fleet);
   view.replace(
-    1,
+    { revision: 1 },
     hosts.map((host) => hostChange(1, host)),
   );
   const peers = new PeerTable(clock, log, () => undefined);
--- a/packages/test-utils/src/entry-fleet.ts
+++ b/packages/test-utils/src/entry-fleet.ts
@@ -316,7 +316,7 @@
 
   #callsOf(own: EntryHostRecord): PeerCalls {
     return {
-      delta: async (address, afterRevision) => {
+      delta: async (address, after) => {
         const { clock } = this.#options;
         this.counts.calls++;
         await clock.sleep(2 * WAY_MILLISECONDS);
@@ -324,7 +324,9 @@
         if (peer === undefined || this.#cut.has(own.reportAddress)) {
           return Err('nobody answers');
         }
-        const text = JSON.stringify(peer.changes.deltaFor({ afterRevision }));
+        const text = JSON.stringify(
+          peer.changes.deltaFor({ afterEpoch: after.epoch, afterRevision: after.revision }),
+        );
         this.counts.callBytes += text.length + CALL_HEADER_BYTES;
         return Ok(deltaResultSchema.parse(JSON.parse(text)));
       },
