fix: a host that starts asks others what they know beyond the store before it serves by it

Cause: the first listing was put in force as it was; that others know more was learned only when they were heard of later, and of equal positions never. Ruled out: that the listing was late (it is the store's own present).

Change: with the first listing a host asks two registered hosts, near ones first, for what they know beyond it; what they keep is taken over in the same step as the listing, so that nothing is decided by the listing alone. Who does not answer in 300 ms is not waited for. Costs one call in parallel for each start.

--- a/packages/entry/src/fleet-member.ts
+++ b/packages/entry/src/fleet-member.ts
@@ -1,12 +1,13 @@
-import { BackgroundTasks } from '@ferrylock/utils';
+import { BackgroundTasks, shuffled } from '@ferrylock/utils';
 import type { Clock, Random } from '@ferrylock/utils';
 import { AccountDuty } from './accounts/account-duty.js';
 import type { EntryHostSettings } from './entry-host-settings.js';
 import type { EventLog } from './events.js';
-import type { EntryHostRecord } from './fleet/fleet-record.js';
+import type { EntryHostRecord, FleetChange } from './fleet/fleet-record.js';
 import type { FleetStore } from './fleet/fleet-store.js';
 import type { StoreReturn } from './fleet/fleet-view.js';
 import { FleetView } from './fleet/fleet-view.js';
+import type { StorePosition } from './fleet/store-position.js';
 import { epochOf } from './fleet/store-position.js';
 import { HostRegistration } from './fleet/host-registration.js';
 import { StoreHealth } from './fleet/store-health.js';
@@ -31,6 +32,10 @@
 /** Pause between two rounds of asking the seeds while nothing is known. */
 const SEED_PAUSE_MILLISECONDS = 300;
 
+/** Hosts that one that starts asks what they know beyond the store. */
+const ASKED_AT_START = 2;
+/** Longest that it waits for them: several times the way between two regions and back. */
+const ASK_MILLISECONDS = 300;
 /**
  * After the store's return, beside the time in which hosts write themselves again: records of targets that no longer write go after
  * three heartbeats.
@@ -176,6 +181,7 @@
       health: this.#health,
       isNeeded: () => duty.isNeeded,
       turnMilliseconds: () => duty.turnMilliseconds,
+      askOthers: (position, listed) => this.#askOthers(position, listed),
     });
     view.onReturn((returned) => {
       this.#takeReturn(returned);
@@ -269,6 +275,35 @@
     });
   }
 
+  /**
+   * Others may know more than a store that came back from a copy: a host that starts asks some of them before it serves by
+   * what the store holds.
+   */
+  async #askOthers(position: StorePosition, listed: readonly FleetChange[]): Promise<() => void> {
+    const { settings, clock, random } = this.#options;
+    const others = listed
+      .flatMap(({ record }) => (record?.kind === 'entryHost' ? [record.host] : []))
+      .filter(({ name }) => name !== settings.name);
+    const near = others.filter(({ region }) => region === settings.region);
+    const asked = shuffled(random, near.length > 0 ? near : others).slice(0, ASKED_AT_START);
+    const askedAt = clock.now();
+    const takes: (() => void)[] = [];
+    const answers = asked.map(async ({ controlAddress }) => {
+      const answer = await this.changes.ask(controlAddress, position);
+      if (answer !== undefined) {
+        takes.push(() => {
+          this.changes.take(controlAddress, answer, askedAt);
+        });
+      }
+    });
+    await Promise.race([Promise.all(answers), clock.sleep(ASK_MILLISECONDS)]);
+    return () => {
+      takes.forEach((take) => {
+        take();
+      });
+    };
+  }
+
   /** Learns from the seeds while nothing is known, as when the store is away. */
   async #askSeeds(signal: AbortSignal): Promise<void> {
     const { settings, clock } = this.#options;
--- a/packages/entry/src/fleet/store-watch.ts
+++ b/packages/entry/src/fleet/store-watch.ts
@@ -35,6 +35,14 @@
   readonly isNeeded: () => boolean;
   /** How long this host lets others go before it reads everything anew, in milliseconds. */
   readonly turnMilliseconds: () => number;
+  /**
+   * Asks other hosts what they know beyond the first listing of a host that starts: of a store that came back from a copy, they
+   * may know more than it holds. The function given back takes it over.
+   */
+  readonly askOthers: (
+    position: StorePosition,
+    listed: readonly FleetChange[],
+  ) => Promise<() => void>;
 }
 
 /** What the store answered, and when. */
@@ -95,7 +103,7 @@
 
   /** Reads everything. */
   async #list(): Promise<FleetStoreFailure | undefined> {
-    const { clock, store, view } = this.#options;
+    const { clock, store, view, askOthers } = this.#options;
     const askedAt = clock.now();
     const known = view.position;
     this.#listedAt = askedAt;
@@ -106,9 +114,11 @@
     const { revision } = listing.value;
     const epoch = lifeOfListing(listing.value, known);
     const changes = listing.value.changes.map((change) => ({ ...change, epoch }));
+    const takeTold = view.isEmpty ? await askOthers({ epoch, revision }, changes) : undefined;
     const knownRevision = view.revision;
     this.progress.record(listing.value, knownRevision);
     const isTaken = view.replace({ epoch, revision }, changes);
+    takeTold?.();
     this.progress.recordListing(isTaken, knownRevision);
     this.#succeeded({ epoch, revision }, { source: 'list', confirmedAt: askedAt, changes });
     return undefined;
--- a/packages/entry/tests/fleet/store-return.test.ts
+++ b/packages/entry/tests/fleet/store-return.test.ts
@@ -234,22 +234,25 @@
     },
   );
 
-  it('hosts that the store has forgotten are in it again within 2 s, and nobody leaves them out meanwhile', async () => {
-    const { clock, fleet } = await makeFleet();
-    const since = async (): Promise<void> => {
-      fleet.addHost();
-      fleet.addHost();
-      await clock.advance(3_000);
-    };
-    await returnFromCopy({ clock, fleet, since, awayMilliseconds: 0 });
-    const known = await sampled(clock, IN_FORCE_MILLISECONDS, () =>
-      Math.min(...fleet.hosts.map(({ member }) => member.hostNames.length)),
-    );
-    const listing = (await Promise.all([fleet.store.list(), clock.advance(50)]))[0].unwrap();
-    const recorded = listing.changes.filter(({ record }) => record?.kind === 'entryHost');
-    expect(recorded).toHaveLength(fleet.hosts.length);
-    expect(Math.min(...known)).toBe(fleet.hosts.length);
-  });
+  it.each([1, 2, 3, 4])(
+    'hosts that the store has forgotten are in it again within 2 s, and nobody leaves them out meanwhile (seed %i)',
+    async (seed) => {
+      const { clock, fleet } = await makeFleet({ seed });
+      const since = async (): Promise<void> => {
+        fleet.addHost();
+        fleet.addHost();
+        await clock.advance(3_000);
+      };
+      await returnFromCopy({ clock, fleet, since, awayMilliseconds: 0 });
+      const known = await sampled(clock, IN_FORCE_MILLISECONDS, () =>
+        Math.min(...fleet.hosts.map(({ member }) => member.hostNames.length)),
+      );
+      const listing = (await Promise.all([fleet.store.list(), clock.advance(50)]))[0].unwrap();
+      const recorded = listing.changes.filter(({ record }) => record?.kind === 'entryHost');
+      expect(recorded).toHaveLength(fleet.hosts.length);
+      expect(Math.min(...known)).toBe(fleet.hosts.length);
+    },
+  );
 
   it('no lease of its former life is renewed or ended, whose number may be another host’s by now', async () => {
     const { clock, fleet } = await makeFleet();
--- a/packages/entry/tests/fleet/store-watch.test.ts
+++ b/packages/entry/tests/fleet/store-watch.test.ts
@@ -7,7 +7,7 @@
 import { StoreWatch } from '../../src/fleet/store-watch.js';
 import type { FleetChanges, FleetStore, FleetStoreFailure } from '../../src/index.js';
 import { FleetView } from '../../src/index.js';
-import { keepEvents, targetChange } from '../fixtures.js';
+import { configurationChange, keepEvents, targetChange } from '../fixtures.js';
 
 type Answer = Result<FleetChanges, FleetStoreFailure>;
 
@@ -44,7 +44,7 @@
   const store = new ScriptedStore();
   const view = new FleetView();
   const health = new StoreHealth(clock, log);
-  const duty = { isNeeded: true, turnMilliseconds: 0 };
+  const duty = { isNeeded: true, turnMilliseconds: 0, takeTold: (): void => undefined };
   const watch = new StoreWatch({
     clock,
     random: new SeededRandom(1),
@@ -54,6 +54,7 @@
     health,
     isNeeded: () => duty.isNeeded,
     turnMilliseconds: () => duty.turnMilliseconds,
+    askOthers: () => Promise.resolve(duty.takeTold),
   });
   return { clock, events, store, view, health, duty, watch };
 }
@@ -178,6 +179,30 @@
     expect(view.records('target').map(({ target }) => target.id)).toEqual(['target-2']);
   });
 
+  it('takes what others know beyond the first listing together with it, so that nothing is decided by the listing alone', async () => {
+    const { clock, store, view, duty, watch } = makeWatch();
+    const versions: (number | undefined)[] = [];
+    duty.takeTold = () => {
+      versions.push(view.records('configuration')[0]?.configuration.version);
+      const kept = { ...configurationChange(9, { version: 4 }), epoch: 1_000 };
+      view.apply({
+        afterEpoch: 2_000,
+        afterRevision: 7,
+        epoch: 2_000,
+        revision: 7,
+        changes: [],
+        kept: [kept],
+      });
+    };
+    store.listings = [
+      Ok({ epoch: 2, revision: 7, changes: [configurationChange(6, { version: 3 })] }),
+    ];
+    watch.start();
+    await clock.advance(100);
+    expect(versions).toEqual([3]);
+    expect(view.records('configuration')[0]?.configuration.version).toBe(4);
+  });
+
   it('leaves it to others to read everything anew, and goes on where they have told it', async () => {
     const { clock, store, view, duty, watch } = makeWatch();
     duty.turnMilliseconds = 900;
