fix: hosts that a store has lost write themselves again within two seconds, under leases of its present life

What callers saw: after the store's return records of hosts that had registered since the copy were missing for up to a renewal's time (12 of 14 after 2 s), while new hosts could not find them; renewals and ends went to leases by numbers that may have been another host's by then (47 calls in 15 s of an emulated fleet of 13).

Cause: a lease was known by its number alone, and a number is of one life of the store. It was only noticed when a renewal was refused, 4 s later at the latest, or never where the number had been given out again. Ruled out: the time that the store was away (the test has none).

Change: a lease carries the life that it was last heard of in. After a return, learned from others or from a renewal's own answer, a host first looks for its record (one read): the same start under the same lease is proof, and nothing is written; else it registers anew. A lease is never ended: the record is removed if it stands as it was written.

Also: which hosts a starting one asks follows from its name, not from chance.

--- a/packages/entry/src/fleet-member.ts
+++ b/packages/entry/src/fleet-member.ts
@@ -1,4 +1,4 @@
-import { BackgroundTasks, shuffled } from '@ferrylock/utils';
+import { BackgroundTasks, rendezvousRank } from '@ferrylock/utils';
 import type { Clock, Random } from '@ferrylock/utils';
 import { AccountDuty } from './accounts/account-duty.js';
 import type { EntryHostSettings } from './entry-host-settings.js';
@@ -9,7 +9,7 @@
 import { FleetView } from './fleet/fleet-view.js';
 import type { StorePosition } from './fleet/store-position.js';
 import { epochOf } from './fleet/store-position.js';
-import { HostRegistration } from './fleet/host-registration.js';
+import { HostRegistration, returnSpreadMilliseconds } from './fleet/host-registration.js';
 import { StoreHealth } from './fleet/store-health.js';
 import type { StoreProgress } from './fleet/store-progress.js';
 import { StoreWatch } from './fleet/store-watch.js';
@@ -222,7 +222,8 @@
   start(own: EntryHostRecord): void {
     this.#watch.start();
     this.#exchange.start(own);
-    this.#registration = new HostRegistration({ ...this.#options, host: own });
+    const hosts = (): number => this.#hostNames.length;
+    this.#registration = new HostRegistration({ ...this.#options, host: own, hosts });
     this.#registration.start();
     this.#tasks.start('seeds', (signal) => this.#askSeeds(signal));
     this.#tasks.start('sweep', (signal) => this.#sweep(signal));
@@ -264,6 +265,7 @@
     const { clock, events } = this.#options;
     this.#returnedAt = clock.now();
     this.#health.recordReturn();
+    this.#registration?.recordReturn();
     events.write({
       event: 'store-return',
       epoch: epochOf(position),
@@ -280,12 +282,13 @@
    * what the store holds.
    */
   async #askOthers(position: StorePosition, listed: readonly FleetChange[]): Promise<() => void> {
-    const { settings, clock, random } = this.#options;
+    const { settings, clock } = this.#options;
     const others = listed
       .flatMap(({ record }) => (record?.kind === 'entryHost' ? [record.host] : []))
       .filter(({ name }) => name !== settings.name);
     const near = others.filter(({ region }) => region === settings.region);
-    const asked = shuffled(random, near.length > 0 ? near : others).slice(0, ASKED_AT_START);
+    const ranked = rendezvousRank(settings.name, near.length > 0 ? near : others, nameOf);
+    const asked = ranked.slice(0, ASKED_AT_START);
     const askedAt = clock.now();
     const takes: (() => void)[] = [];
     const answers = asked.map(async ({ controlAddress }) => {
@@ -324,7 +327,8 @@
 
   /** Once all that write to the store have had time to write again, what it lacks is gone. */
   #settle(now: number): void {
-    if (now - this.#returnedAt >= WRITTEN_AGAIN_MILLISECONDS) {
+    const spread = returnSpreadMilliseconds(this.#hostNames.length);
+    if (now - this.#returnedAt >= WRITTEN_AGAIN_MILLISECONDS + spread) {
       this.#returnedAt = Infinity;
       this.view.settle();
     }
@@ -354,3 +358,7 @@
     }
   }
 }
+
+function nameOf({ name }: EntryHostRecord): string {
+  return name;
+}
--- a/packages/entry/src/fleet/fleet-store.ts
+++ b/packages/entry/src/fleet/fleet-store.ts
@@ -22,10 +22,18 @@
   readonly revision: number;
 }
 
-/** A registration that lasts only while it is renewed. */
+/**
+ * A registration that lasts only while it is renewed. Its number is of one life of the store: after a return from a copy it may be
+ * another host's.
+ */
 export interface HostLease {
   readonly id: number;
   readonly milliseconds: number;
+  /** What is recorded under it, and the revision that it was written at. */
+  readonly key: string;
+  readonly revision: number;
+  /** How often the store had come back, as it told with the last answer about the lease. */
+  readonly epoch?: number | undefined;
 }
 
 /** What a write depends on and how long what it writes lasts. */
@@ -49,12 +57,18 @@
     host: EntryHostRecord,
     leaseMilliseconds: number,
   ): Promise<Result<HostLease, FleetStoreFailure>>;
-  renew(lease: HostLease): Promise<Result<void, FleetStoreFailure>>;
+  /** @returns the lease, with the life of the store that renewed it */
+  renew(lease: HostLease): Promise<Result<HostLease, FleetStoreFailure>>;
+  /** The lease as the store has it now, or undefined where it does not hold this start of the host under it. */
+  findLease(
+    host: EntryHostRecord,
+    lease: HostLease,
+  ): Promise<Result<HostLease | undefined, FleetStoreFailure>>;
   /** Writes about a request under which targets ended, if nobody else has meanwhile. */
   writeSuspect(
     suspect: SuspectRecord,
     write: SuspectWrite,
   ): Promise<Result<void, FleetStoreFailure>>;
-  /** Ends a lease, and with it the registration. */
+  /** Takes the registration away, if it stands as it was written. The lease, which may be another's by now, runs out. */
   release(lease: HostLease): Promise<Result<void, FleetStoreFailure>>;
 }
--- a/packages/entry/tests/fleet/store-watch.test.ts
+++ b/packages/entry/tests/fleet/store-watch.test.ts
@@ -30,6 +30,7 @@
 
   register = () => Promise.resolve(Err(failure('not-done')));
   renew = () => Promise.resolve(Err(failure('not-done')));
+  findLease = () => Promise.resolve(Err(failure('not-done')));
   release = () => Promise.resolve(Err(failure('not-done')));
   writeSuspect = () => Promise.resolve(Err(failure('not-done')));
 }
--- a/packages/test-utils/src/memory-fleet-store.ts
+++ b/packages/test-utils/src/memory-fleet-store.ts
@@ -34,12 +34,11 @@
 /** The platform's store as entry hosts use it, in memory and by an injected clock. */
 export class MemoryFleetStore implements FleetStore {
   /** Calls taken so far, by kind. */
-  readonly calls = { list: 0, watch: 0, write: 0, renew: 0 };
+  readonly calls = { list: 0, watch: 0, write: 0, renew: 0, find: 0 };
   /** How often it came back from a copy, as its answers say it; undefined where they say nothing. */
   epoch: number | undefined = 1;
-  /** When a lease was renewed or ended that was granted in a former life. */
+  /** When a lease was renewed that was not known to be of the present life. */
   readonly formerLeaseCalls: number[] = [];
-  readonly #epochOfLease = new WeakMap<HostLease, number | undefined>();
   #isAway = false;
   readonly #clock: Clock;
   readonly #entries = new Map<string, FleetChange>();
@@ -184,16 +183,16 @@
     if (this.#isAway) {
       return Err(AWAY);
     }
-    const lease = { id: this.#nextLease++, milliseconds };
+    const id = this.#nextLease++;
     const key = `hosts/${host.name}`;
-    this.#keep(lease.id, key, milliseconds);
-    this.#epochOfLease.set(lease, this.epoch);
+    this.#keep(id, key, milliseconds);
     this.put(key, { kind: 'entryHost', host });
+    const lease = { id, milliseconds, key, revision: this.#revision, epoch: this.epoch };
     await this.#clock.sleep(WAY_MILLISECONDS);
     return Ok(lease);
   }
 
-  async renew(held: HostLease): Promise<Result<void, FleetStoreFailure>> {
+  async renew(held: HostLease): Promise<Result<HostLease, FleetStoreFailure>> {
     const { id, milliseconds } = held;
     this.calls.renew++;
     await this.#clock.sleep(2 * WAY_MILLISECONDS);
@@ -207,7 +206,24 @@
     }
     lease.cancel();
     this.#keep(id, lease.key, milliseconds);
-    return Ok(undefined);
+    return Ok({ ...held, epoch: this.epoch });
+  }
+
+  async findLease(
+    host: EntryHostRecord,
+    held: HostLease,
+  ): Promise<Result<HostLease | undefined, FleetStoreFailure>> {
+    this.calls.find++;
+    await this.#clock.sleep(2 * WAY_MILLISECONDS);
+    if (this.#isAway) {
+      return Err(AWAY);
+    }
+    const entry = this.#entries.get(held.key);
+    const isHeld =
+      this.#leases.get(held.id)?.key === held.key &&
+      entry?.record?.kind === 'entryHost' &&
+      entry.record.host.incarnation === host.incarnation;
+    return Ok(isHeld ? { ...held, revision: entry.revision, epoch: this.epoch } : undefined);
   }
 
   async writeSuspect(
@@ -241,13 +257,14 @@
     if (this.#isAway) {
       return Err(AWAY);
     }
-    this.#countFormer(lease);
-    this.#end(lease.id);
+    if (this.#entries.get(lease.key)?.revision === lease.revision) {
+      this.remove(lease.key);
+    }
     return Ok(undefined);
   }
 
   #countFormer(lease: HostLease): void {
-    if (this.#epochOfLease.get(lease) !== this.epoch) {
+    if (lease.epoch !== this.epoch) {
       this.formerLeaseCalls.push(this.#clock.now());
     }
   }
--- a/packages/test-utils/src/way-to-store.ts
+++ b/packages/test-utils/src/way-to-store.ts
@@ -25,6 +25,8 @@
 
   renew: FleetStore['renew'] = (lease) => this.#call(() => this.store.renew(lease));
 
+  findLease: FleetStore['findLease'] = (...call) => this.#call(() => this.store.findLease(...call));
+
   writeSuspect: FleetStore['writeSuspect'] = (...call) =>
     this.#call(() => this.store.writeSuspect(...call));
 
