fix: a start of a target that left stays left when an older record of it comes back after its own had gone

What callers saw: a target that had said by its record that it leaves, and whose record had gone, was sent requests again where the store came back from a copy that had it as ready and that record lasted (1,353 uses in 12 s of an emulated fleet of 12; the target was gone).

Cause: what a target says in its answers outlasts its record; that its record had said the same did not. A record that is removed took the farewell with it, and the sequence that would have shown the older one to be old. Ruled out: the view (it keeps such a record back only until all have had time to write again).

Change: when a record of a start that leaves goes, the start's kept word says so too. Holds by the start's name, so that the next start under the same id is free (asserted). Both tests failed before.

--- a/packages/entry/tests/fleet/store-return.test.ts
+++ b/packages/entry/tests/fleet/store-return.test.ts
@@ -299,6 +299,20 @@
     expect(used.flat()).toEqual([]);
   });
 
+  it('a target that left is not free again where the copy’s record of it outlasts all who might write again', async () => {
+    const { clock, fleet } = await makeFleet();
+    putTarget(fleet, 'leaver', 'ready', 1);
+    await clock.advance(1_000);
+    const since = async (): Promise<void> => {
+      putTarget(fleet, 'leaver', 'draining', 9);
+      await clock.advance(2_500);
+      fleet.store.remove('targets/leaver');
+    };
+    await returnFromCopy({ clock, fleet, since });
+    const used = await sampled(clock, 12_000, () => users(fleet, 'leaver'));
+    expect(used.flat()).toEqual([]);
+  });
+
   it('an evacuation that was asked for since the copy goes on, and one that was ended does not begin again', async () => {
     const { clock, fleet } = await makeFleet();
     fleet.store.put('evacuate/domain-1', { kind: 'evacuation', failureDomain: 'domain-1' });
--- a/packages/routing/src/former-words.ts
+++ b/packages/routing/src/former-words.ts
@@ -7,15 +7,18 @@
 const MOST_KEPT = 1_024;
 
 /**
- * What starts of targets said of themselves whose record has gone. A record goes and comes back while its target lives:
+ * What starts of targets said of themselves, in answers or records, whose record has gone. A record goes and comes back while its target lives:
  * the store lost it, or a host learned of it late. Such a target still leaves, rests, or has its limit. Where targets do not tell when they
  * began, the id names the start.
  */
 export class FormerWords {
   readonly #kept = new Map<string, TargetWord>();
 
-  /** Its record has gone. */
-  keep({ start, word }: TargetState, now: number): void {
+  /** Its record has gone. An older one of the same start may come back, which does not know yet that the start leaves. */
+  keep({ start, word, leaving }: TargetState, now: number): void {
+    if (leaving) {
+      word.recordLeaving();
+    }
     if (!word.isLeaving && !word.isResting(now) && word.limit.perSecond === undefined) {
       return;
     }
--- a/packages/routing/tests/service-targets.test.ts
+++ b/packages/routing/tests/service-targets.test.ts
@@ -219,4 +219,17 @@
     service.put(makeTargetRecord());
     expect(service.put(makeTargetRecord({ sequence: 1 }))).toBe('updated');
   });
+
+  it('does not free a start whose record said that it leaves, when an older record of it comes back after its own had gone', () => {
+    const { service } = makeService();
+    const start = { id: 'i-1', bornAt: 1_000 };
+    service.put(makeTargetRecord({ ...start, sequence: 5 }));
+    service.put(makeTargetRecord({ ...start, sequence: 9, state: 'draining' }));
+    service.remove('i-1');
+    service.put(makeTargetRecord({ ...start, sequence: 5 }));
+    expect(service.targets.get('i-1')?.leaving).toBe(true);
+    expect(choose(service, 'object-1')).toBeUndefined();
+    service.put(makeTargetRecord({ ...start, bornAt: 2_000 }));
+    expect(service.targets.get('i-1')?.leaving).toBe(false);
+  });
 });
