fix: a suspect's one trial is not given out again since the store came back from a copy, and its record is written again

What callers saw: nothing in the reports; found by looking for the same cause elsewhere. A request under which targets end may be run once more by one host of the fleet, which claims that by a conditional write. After a return the claim's record was gone or had its former state and was written again by nobody, so that hosts starting after all had lost their power would have let it run again; and a claim whose revision had been given out again could overwrite another host's word.

Cause: the record and its revision were taken to be there for ever.

Change: what the view keeps of suspects beyond the store is written again by the host whose turn it is (by rank, 0.4 s apart: one writes, the others see it). A conditional write names the life that its revision is of; the lease's answer, which comes just before, shows another. The revision is asked of the view at the time of the write.

Left: between the lease and the write the store may still come back.

--- a/packages/bench/src/benches/suspect-cost.ts
+++ b/packages/bench/src/benches/suspect-cost.ts
@@ -28,6 +28,7 @@
     events: new EventLog(silentLogger),
     store: new MemoryFleetStore(clock),
     view: new FleetView(),
+    turnOf: () => 0,
     hosts: () => 1,
     onNews: () => undefined,
   });
--- a/packages/entry/src/fleet-member.ts
+++ b/packages/entry/src/fleet-member.ts
@@ -132,6 +132,8 @@
       ...options,
       view,
       hosts: () => this.#hostNames.length,
+      turnOf: (fingerprint) =>
+        rendezvousRank(fingerprint, this.#hostNames, (name) => name).indexOf(settings.name),
       onNews: (source) => {
         this.#exchange.tellNews(source);
       },
--- a/packages/entry/src/fleet/fleet-store.ts
+++ b/packages/entry/src/fleet/fleet-store.ts
@@ -40,6 +40,8 @@
 export interface SuspectWrite {
   /** Revision of the record that it replaces; 0 where there is to be none. The write is refused where it is another. */
   readonly revision: number;
+  /** How often the store had come back from a copy when it was at this revision; absent where that does not matter. */
+  readonly epoch?: number;
   readonly leaseMilliseconds: number;
 }
 
--- a/packages/entry/src/suspects/suspect-duty.ts
+++ b/packages/entry/src/suspects/suspect-duty.ts
@@ -26,6 +26,8 @@
   readonly view: FleetView;
   /** How many entry hosts there are. */
   readonly hosts: () => number;
+  /** Place of this host among all in the order in which they write about a request; 0 for the first. */
+  readonly turnOf: (fingerprint: string) => number;
   readonly events: EventLog;
   /** There is news that others should not wait for. */
   readonly onNews: (source: NewsSource) => void;
--- a/packages/entry/src/suspects/suspect-records.ts
+++ b/packages/entry/src/suspects/suspect-records.ts
@@ -5,6 +5,7 @@
 import type { FleetChange } from '../fleet/fleet-record.js';
 import type { FleetStore } from '../fleet/fleet-store.js';
 import type { FleetView } from '../fleet/fleet-view.js';
+import { toldOfEpoch } from '../fleet/store-position.js';
 import type { SuspectRecord, SuspectState } from '../fleet/suspect-record.js';
 
 /** The longest that the store grants. A request that is asked for no more is forgotten after it. */
@@ -18,6 +19,11 @@
  * sweeps, so that one writes mostly, and the others see that it has.
  */
 const WRITE_SPREAD_MILLISECONDS = 200;
+/**
+ * Between the turns of two hosts to write again what a store that came back from a copy lacks: the time in which the second sees that the
+ * first has written. Four turns pass within two seconds.
+ */
+const TURN_MILLISECONDS = 400;
 /** Records that the store is to hold at most, some 200 bytes each, however many requests end targets. */
 const MOST_RECORDS = 256;
 /**
@@ -38,12 +44,16 @@
   readonly table: SuspectTable;
   /** How many entry hosts there are. */
   readonly hosts: () => number;
+  /** Place of this host among all in the order in which they write about a request; 0 for the first. */
+  readonly turnOf: (fingerprint: string) => number;
 }
 
 /** A record as it was seen last. */
 interface HeldRecord extends SuspectRecord {
-  /** Revision of the store's change; 0 once the record has gone. */
-  revision: number;
+  /** Its key; undefined before there is a record. */
+  readonly key: string | undefined;
+  /** Whether there is no record, or none any more. */
+  isGone: boolean;
   readonly seenAt: number;
 }
 
@@ -84,7 +94,7 @@
     const isOver = now - table.lastEndAt(fingerprint) >= TRIAL_AFTER_MILLISECONDS;
     const claimedAt = this.#claimedAt.get(fingerprint) ?? -Infinity;
     const isFirst = now - claimedAt >= CLAIM_PAUSE_MILLISECONDS;
-    if (held?.state !== 'suspected' || held.revision === 0 || !isOver || !isFirst) {
+    if (held?.state !== 'suspected' || held.isGone || !isOver || !isFirst) {
       return false;
     }
     this.#claimedAt.set(fingerprint, now);
@@ -110,18 +120,22 @@
     if (held === undefined || held.state === 'cleared') {
       return true;
     }
-    return held.revision === 0 && this.#options.table.keptFrom(fingerprint) > held.seenAt;
+    return held.isGone && this.#options.table.keptFrom(fingerprint) > held.seenAt;
   }
 
   #sweepHeld(held: HeldRecord): void {
-    const { clock, table } = this.#options;
-    const { fingerprint, state, seenAt, revision } = held;
-    if (revision === 0 && !table.isSuspect(fingerprint)) {
+    const { clock, table, view, turnOf } = this.#options;
+    const { fingerprint, state, seenAt, key = '', isGone } = held;
+    if (isGone && !table.isSuspect(fingerprint)) {
       this.#held.delete(fingerprint);
       this.#dueAt.delete(fingerprint);
       this.#claimedAt.delete(fingerprint);
     }
-    if (state === 'cleared' || revision === 0) {
+    if (view.isKept(key)) {
+      // The store came back from a copy that lacks it, or has an older state of it.
+      this.#writeWhenDue(fingerprint, state, turnOf(fingerprint) * TURN_MILLISECONDS);
+    }
+    if (state === 'cleared' || isGone) {
       return;
     }
     this.#teach(held);
@@ -143,13 +157,13 @@
     this.#options.table.take([{ fingerprint, ends }]);
   }
 
-  #take({ key, revision, record }: FleetChange): void {
+  #take({ key, record }: FleetChange): void {
     const fingerprint = this.#fingerprintOfKey.get(key) ?? '';
     const held = this.#held.get(fingerprint);
     if (record?.kind === 'suspect') {
       const { suspect } = record;
       this.#fingerprintOfKey.set(key, suspect.fingerprint);
-      const seen = { ...suspect, revision, seenAt: this.#options.clock.now() };
+      const seen = { ...suspect, key, isGone: false, seenAt: this.#options.clock.now() };
       this.#held.set(suspect.fingerprint, seen);
       this.#dueAt.delete(suspect.fingerprint);
       this.#teach(seen);
@@ -159,11 +173,12 @@
       }
     } else if (record === undefined && held !== undefined) {
       this.#fingerprintOfKey.delete(key);
-      held.revision = 0;
+      held.isGone = true;
     }
   }
 
-  #writeWhenDue(fingerprint: string, state: SuspectState): void {
+  /** @param waitMilliseconds - until its turn; by chance where it is not given */
+  #writeWhenDue(fingerprint: string, state: SuspectState, waitMilliseconds?: number): void {
     const { clock, random, table, hosts } = this.#options;
     if (this.#writing.has(fingerprint)) {
       return;
@@ -172,28 +187,31 @@
     const dueAt = this.#dueAt.get(fingerprint);
     if (dueAt === undefined) {
       const spread = WRITE_SPREAD_MILLISECONDS * hosts();
-      this.#dueAt.set(fingerprint, now + spread * random.next());
+      this.#dueAt.set(fingerprint, now + (waitMilliseconds ?? spread * random.next()));
     } else if (now >= dueAt) {
       this.#dueAt.delete(fingerprint);
       const held = this.#held.get(fingerprint);
       const isTried = held?.state === 'tried' && state === 'suspected';
       const targets = table.endsOf(fingerprint);
-      const former = held ?? { fingerprint, targets, state, revision: 0, seenAt: now };
+      const unknown = { fingerprint, targets, state, key: undefined, isGone: true, seenAt: now };
+      const former = held ?? unknown;
       const isNew = former.state === 'cleared' || former.targets.length === 0;
       void this.#write(isNew ? { ...former, targets } : former, isTried ? 'tried' : state);
     }
   }
 
   async #write(from: HeldRecord, state: SuspectState): Promise<boolean> {
-    const { store, events } = this.#options;
-    const { fingerprint, targets, revision } = from;
+    const { store, events, view } = this.#options;
+    const { fingerprint, targets, key = '' } = from;
     if (this.#writing.has(fingerprint)) {
       return false;
     }
     this.#writing.add(fingerprint);
     const leaseMilliseconds = state === 'cleared' ? CLEARED_LEASE_MILLISECONDS : LEASE_MILLISECONDS;
     const suspect = { fingerprint, targets, state };
-    const written = await store.writeSuspect(suspect, { revision, leaseMilliseconds });
+    const revision = view.writtenRevision(key);
+    const epoch = toldOfEpoch(view.epoch);
+    const written = await store.writeSuspect(suspect, { revision, epoch, leaseMilliseconds });
     this.#writing.delete(fingerprint);
     events.write({
       event: 'suspect-record',
--- a/packages/entry/tests/fixtures.ts
+++ b/packages/entry/tests/fixtures.ts
@@ -125,6 +125,7 @@
     store: new MemoryFleetStore(clock),
     view: new FleetView(),
     hosts: () => 1,
+    turnOf: () => 0,
     onNews: () => undefined,
   });
 }
--- a/packages/entry/tests/fleet/store-return.test.ts
+++ b/packages/entry/tests/fleet/store-return.test.ts
@@ -3,110 +3,25 @@
  * 98f0271 a confirmed change and a target's farewell were then at no host until the store's count had passed the former one, and the
  * hosts that watch read everything again and again without a pause.
  */
-import type { EntryFleetOptions } from '@ferrylock/test-utils';
-import { EntryFleet, FakeClock, makeTargetRecord } from '@ferrylock/test-utils';
 import { describe, expect, it } from 'vitest';
+import {
+  allOf,
+  makeFleet,
+  putTarget,
+  returnFromCopy,
+  sampled,
+  users,
+  versions,
+} from './return-fleet.js';
 
-const SETTLE_MILLISECONDS = 5_000;
-const AWAY_MILLISECONDS = 1_500;
 /** By when a change is to be in force, and hosts' records to be back. */
 const IN_FORCE_MILLISECONDS = 2_000;
 /** Silent targets' records go from the store after this. */
 const THREE_HEARTBEATS_MILLISECONDS = 4_500;
-const SAMPLE_MILLISECONDS = 50;
 /** Hosts that read everything anew after a return, whatever the size of the fleet. */
 const MOST_LISTINGS = 10;
 const TEST_MILLISECONDS = 120_000;
 
-async function makeFleet(options: Partial<EntryFleetOptions> = {}) {
-  const clock = new FakeClock();
-  const fleet = new EntryFleet({
-    clock,
-    hosts: 12,
-    domains: 6,
-    largeHostsPerDomain: 2,
-    targetsPerService: 6,
-    services: 2,
-    seed: 1,
-    ...options,
-  });
-  fleet.start();
-  await clock.advance(SETTLE_MILLISECONDS);
-  fleet.configure(3);
-  await clock.advance(1_000);
-  return { clock, fleet };
-}
-
-interface Return {
-  readonly clock: FakeClock;
-  readonly fleet: EntryFleet;
-  /** What is written after the copy was taken. */
-  readonly since?: () => Promise<void> | void;
-  readonly awayMilliseconds?: number;
-  readonly isHistoryLost?: boolean;
-}
-
-/** The store goes away and comes back from a copy; the function given back has others write again what they had written. */
-async function returnFromCopy({
-  clock,
-  fleet,
-  since = () => undefined,
-  awayMilliseconds = AWAY_MILLISECONDS,
-  isHistoryLost = false,
-}: Return): Promise<() => void> {
-  const copy = fleet.store.takeCopy();
-  await since();
-  await clock.advance(1_000);
-  fleet.store.setAway(true);
-  await clock.advance(awayMilliseconds);
-  const writeAgain = fleet.store.restore(copy);
-  if (isHistoryLost) {
-    fleet.store.forgetHistory();
-  }
-  fleet.store.setAway(false);
-  return writeAgain;
-}
-
-function versions(fleet: EntryFleet): (number | undefined)[] {
-  return fleet.hosts.map(({ member }) => member.state.active?.version);
-}
-
-function allOf<T>(fleet: EntryFleet, value: T): T[] {
-  return fleet.hosts.map(() => value);
-}
-
-/** Whether each host would send requests to a target. */
-function users(fleet: EntryFleet, id: string): string[] {
-  return fleet.hosts
-    .filter(({ member }) => {
-      const target = member.state.serviceOfTarget(id)?.targets.get(id);
-      return target !== undefined && !target.leaving;
-    })
-    .map(({ record }) => record.name);
-}
-
-/** Looks at something again and again for a time. */
-async function sampled<T>(clock: FakeClock, milliseconds: number, sample: () => T): Promise<T[]> {
-  const samples: T[] = [];
-  for (let at = 0; at < milliseconds; at += SAMPLE_MILLISECONDS) {
-    await clock.advance(SAMPLE_MILLISECONDS);
-    samples.push(sample());
-  }
-  return samples;
-}
-
-function putTarget(fleet: EntryFleet, id: string, state: 'ready' | 'draining', sequence: number) {
-  const target = makeTargetRecord({
-    id,
-    service: 'service-0',
-    failureDomain: 'domain-0',
-    bornAt: 1_700_000_000_000,
-    sequence,
-    state,
-  });
-  fleet.store.put(`targets/${id}`, { kind: 'target', target });
-}
-
 describe('after the store came back from a copy', { timeout: TEST_MILLISECONDS }, () => {
   const storms = [
     { hosts: 4, domains: 2, changes: 1 },
--- a/packages/entry/tests/suspects/suspect-records.test.ts
+++ b/packages/entry/tests/suspects/suspect-records.test.ts
@@ -6,7 +6,9 @@
 import { FakeClock, MemoryFleetStore } from '@ferrylock/test-utils';
 import { SeededRandom, stableHash } from '@ferrylock/utils';
 import { describe, expect, it } from 'vitest';
+import type { FleetChange } from '../../src/index.js';
 import { FleetView } from '../../src/index.js';
+import { epochOfTold } from '../../src/fleet/store-position.js';
 import { SuspectRecords } from '../../src/suspects/suspect-records.js';
 import { keepEvents } from '../fixtures.js';
 
@@ -31,6 +33,7 @@
       view,
       table,
       hosts: () => hosts,
+      turnOf: () => index,
     });
     void sweep(records);
     void watch(view);
@@ -44,13 +47,26 @@
   }
   async function watch(view: FleetView): Promise<void> {
     for (;;) {
-      const { changes, revision } = (await store.waitForChanges(view.revision, 1_000)).unwrap();
-      view.apply({ afterRevision: view.revision, revision, changes });
+      const answer = await store.waitForChanges(view.revision, 1_000);
+      if (answer.isErr()) {
+        const { epoch: told = 0, revision, changes } = (await store.list()).unwrap();
+        const epoch = epochOfTold(told);
+        view.replace({ epoch, revision }, ofLife(changes, epoch));
+        continue;
+      }
+      const { epoch: told = 0, changes, revision } = answer.value;
+      const epoch = epochOfTold(told);
+      const [afterEpoch, afterRevision] = [view.isEmpty ? 0 : epoch, view.revision];
+      view.apply({ afterEpoch, afterRevision, epoch, revision, changes: ofLife(changes, epoch) });
     }
   }
   return { clock, store, all };
 }
 
+function ofLife(changes: readonly FleetChange[], epoch: number): FleetChange[] {
+  return changes.map((change) => ({ ...change, epoch }));
+}
+
 function suspect({ table }: { table: SuspectTable }, targets = TARGETS): void {
   for (const target of targets) {
     table.recordEnd('bad', target);
@@ -225,4 +241,63 @@
     await clock.advance(10);
     expect((await listing).unwrap().changes.length).toBeLessThanOrEqual(256);
   });
+
+  it('are not tried once more since the store came back from a copy in which they had not been', async () => {
+    const { clock, store, all } = setUp();
+    all.forEach((host) => {
+      suspect(host);
+    });
+    await clock.advance(4_000);
+    const copy = store.takeCopy();
+    const claimed = all[0]?.records.claimTrial('bad');
+    await clock.advance(1_000);
+    expect(await claimed).toBe(true);
+    store.restore(copy);
+    await clock.advance(3_000);
+    const claims = all.map(({ records }) => records.claimTrial('bad'));
+    await clock.advance(100);
+    expect((await Promise.all(claims)).some(Boolean)).toBe(false);
+  });
+
+  it.each([
+    ['lacks them', 0],
+    ['has an older state of them', 1],
+  ])(
+    'are written again within 2 s by one host where the store came back from a copy that %s',
+    async (_case, copies) => {
+      const { clock, store, all } = setUp();
+      const first = store.takeCopy();
+      all.forEach((host) => {
+        suspect(host);
+      });
+      await clock.advance(4_000);
+      const copy = copies === 0 ? first : store.takeCopy();
+      void all[0]?.records.claimTrial('bad');
+      await clock.advance(1_000);
+      store.restore(copy);
+      const before = store.calls.write;
+      await clock.advance(2_000);
+      expect(await stateOf(store, clock)).toBe('tried');
+      expect(store.calls.write - before).toBeLessThanOrEqual(8);
+    },
+  );
+
+  it('take no revision of a former life for the one that they are to replace', async () => {
+    const { clock, store, all } = setUp(1);
+    const copy = store.takeCopy();
+    all.forEach((host) => {
+      suspect(host);
+    });
+    await clock.advance(4_000);
+    store.restore(copy);
+    // Another record has the same revision now as the host's own had in the life before.
+    store.put('suspects/bad', {
+      kind: 'suspect',
+      suspect: { fingerprint: 'bad', targets: ['d'], state: 'cleared' },
+    });
+    const claimed = all[0]?.records.claimTrial('bad');
+    await clock.advance(50);
+    expect(await claimed).toBe(false);
+    expect(await stateOf(store, clock)).toBe('cleared');
+  });
 });
--- a/packages/test-utils/src/memory-fleet-store.ts
+++ b/packages/test-utils/src/memory-fleet-store.ts
@@ -228,7 +228,7 @@
 
   async writeSuspect(
     suspect: SuspectRecord,
-    { revision, leaseMilliseconds }: SuspectWrite,
+    { revision, epoch = this.epoch, leaseMilliseconds }: SuspectWrite,
   ): Promise<Result<void, FleetStoreFailure>> {
     this.calls.write += 2;
     await this.#clock.sleep(2 * WAY_MILLISECONDS);
@@ -236,7 +236,8 @@
       return Err(AWAY);
     }
     const key = `suspects/${suspect.fingerprint}`;
-    if ((this.#entries.get(key)?.revision ?? 0) !== revision) {
+    const isOfThisLife = this.epoch === undefined || epoch === this.epoch;
+    if (!isOfThisLife || (this.#entries.get(key)?.revision ?? 0) !== revision) {
       return Err({ kind: 'not-done', message: 'another revision' });
     }
     for (const [id, lease] of this.#leases) {
