fix: ferrylockd notices a store that was put back under the same id and has counted past what was seen

Where its count had passed the revision that the watchers had seen, these went on watching from there: documents that the store had lost were not given back to it, and what was written meanwhile at revisions that had been seen was not read.

Cause: the same class, a revision taken to be given out once; an id that is another one after a restore was relied upon.

Change: before a watch goes on, the keys' revisions are asked for (keys only, no values). A key at another revision than it was seen at, or gone, though the store says that it is past it, shows that the store was put back; then everything is read and what it lost is given back, as where the id is another one. Two tests: the first failed before (not given back), the second passed already (a daemon that starts beside others does not steer by the older configuration) and stays.

--- a/packages/control/src/configuration/configuration-sync.ts
+++ b/packages/control/src/configuration/configuration-sync.ts
@@ -15,6 +15,7 @@
 import { applyDelta, makeDelta } from './configuration-delta.js';
 import { CONFIGURATION_PREFIX, configurationKey } from './configuration-keys.js';
 import type { ConfigurationReplica } from './configuration-replica.js';
+import { SeenRevisions } from '../seen-revisions.js';
 import { readStoredDocument } from './stored-document.js';
 
 /** Daemons of each failure domain that watch the store. */
@@ -56,8 +57,9 @@
   /** Clock reading at which the configuration was last known to be current. */
   #currentAt = -Infinity;
   #storeReadAt = -Infinity;
-  #seenRevision = 0;
-  #seenStoreId = '';
+  readonly #seen = new SeenRevisions();
+  /** Whether a watch cannot go on from what was seen. */
+  #mustList = true;
   #watching = false;
 
   constructor(options: ConfigurationSyncOptions) {
@@ -223,16 +225,14 @@
       const ended = AbortSignal.any([signal, this.#renewal(signal)]);
       const failure = await store.watch({
         prefix: CONFIGURATION_PREFIX,
-        fromRevision: this.#seenRevision + 1,
+        fromRevision: this.#seen.upTo + 1,
         signal: ended,
         onEvents: (events) => {
           this.#takeEvents(events);
         },
       });
       this.#watching = ended.aborted && this.#shouldWatch();
-      if (failure.compacted === true) {
-        this.#seenRevision = 0;
-      }
+      this.#mustList ||= failure.compacted === true;
       if (!ended.aborted) {
         logger.info('configuration watch ended', { reason: failure.message });
       }
@@ -242,32 +242,33 @@
 
   /**
    * Reads the whole configuration at the start, and again only where a watch cannot go on from the
-   * last revision seen, so that the end of an outage does not bring a flood of listings.
+   * last revision seen, so that the end of an outage does not bring a flood of listings. A store that was put back from a
+   * backup may have the same id and have counted past that revision: its keys' revisions show it.
    */
   async #catchUp(): Promise<StoreFailure | undefined> {
     const { store } = this.#options;
-    const state = await store.state();
-    if (state.isErr()) {
-      return state.error;
+    const present = await store.revisions(CONFIGURATION_PREFIX);
+    if (present.isErr()) {
+      return present.error;
     }
-    const { storeId, revision } = state.value;
-    const isSameStore = storeId === this.#seenStoreId;
-    if (isSameStore && this.#seenRevision > 0 && revision >= this.#seenRevision) {
+    if (!this.#mustList && this.#seen.isContinuedBy(present.value)) {
       return undefined;
     }
     const listing = await store.list(CONFIGURATION_PREFIX);
     if (listing.isErr()) {
       return listing.error;
     }
+    const { values, ...state } = listing.value;
     await this.#takeListing(listing.value);
-    this.#seenRevision = listing.value.revision;
-    this.#seenStoreId = listing.value.storeId;
+    const revisions = new Map(values.map(({ key, revision }) => [key, revision]));
+    this.#seen.replace({ ...state, revisions });
+    this.#mustList = false;
     return undefined;
   }
 
   #takeEvents(events: readonly StoreEvent[]): void {
     for (const event of events) {
-      this.#seenRevision = Math.max(this.#seenRevision, event.revision);
+      this.#seen.record(event.key, event.revision);
       const document = readStoredDocument(
         event.value === undefined ? undefined : { value: event.value },
       );
--- a/packages/control/tests/configuration/configuration-sync.test.ts
+++ b/packages/control/tests/configuration/configuration-sync.test.ts
@@ -109,6 +109,48 @@
     fleet.stop();
   });
 
+  it('gives back what the store lost, where it came back as the same one and has counted past what was seen', async () => {
+    const fleet = await ControlFleet.start(FLEET);
+    await change(fleet, fleet.node(0), 0);
+    const backup = fleet.engine.backUp();
+    await change(fleet, fleet.node(0), 1);
+    await fleet.clock.advance(1_000);
+    fleet.engine.restore(backup, { keepsId: true });
+    for (let count = 0; count < 20; count++) {
+      fleet.engine.compareAndSwap({ key: `other/${count}`, expectedRevision: 0, value: '' });
+    }
+    await fleet.clock.advance(10_000);
+    expect(generations(fleet)).toEqual([2]);
+    const stored = JSON.parse(fleet.engine.get('ferrylock/configuration/atec')?.value ?? '{}') as {
+      generation: number;
+    };
+    expect(stored.generation).toBe(2);
+    fleet.stop();
+  });
+
+  it('does not steer by an older configuration of a store put back, at a daemon that starts beside others that know the newer', async () => {
+    const fleet = await ControlFleet.start(FLEET);
+    await change(fleet, fleet.node(0), 0);
+    const backup = fleet.engine.backUp();
+    await change(fleet, fleet.node(0), 1);
+    await fleet.clock.advance(1_000);
+    fleet.kill(fleet.node(11));
+    fleet.nodes.forEach((node) => {
+      node.store.setCutOff(true);
+    });
+    fleet.engine.restore(backup);
+    const started = fleet.startHost(11);
+    const steeredBy = new Set<number>();
+    for (let elapsed = 0; elapsed < 10_000; elapsed += 20) {
+      await fleet.clock.advance(20);
+      if (started.sync.ready) {
+        steeredBy.add(started.replica.generation('atec'));
+      }
+    }
+    expect([...steeredBy]).toEqual([2]);
+    fleet.stop();
+  });
+
   it('shows its age while the store is down, and serves on', async () => {
     const fleet = await ControlFleet.start(FLEET);
     await change(fleet, fleet.node(0), 0);
--- a/packages/platform/src/etcd-store.ts
+++ b/packages/platform/src/etcd-store.ts
@@ -19,6 +19,7 @@
   StoredValue,
   StoreFailure,
   StoreListing,
+  StoreRevisions,
   StoreState,
   Swap,
   SwapOutcome,
@@ -67,6 +68,18 @@
     }));
   }
 
+  async revisions(prefix: string): Promise<Result<StoreRevisions, StoreFailure>> {
+    const response = await this.#call('/v3/kv/range', rangeResponseSchema, {
+      key: encodeText(prefix),
+      range_end: prefixRangeEnd(prefix),
+      keys_only: true,
+    });
+    return response.map((range) => ({
+      ...toState(range.header),
+      revisions: new Map(range.kvs.map((entry) => [decodeText(entry.key), entry.mod_revision])),
+    }));
+  }
+
   async state(): Promise<Result<StoreState, StoreFailure>> {
     const response = await this.#call('/v3/kv/range', rangeResponseSchema, {
       key: encodeText(STATE_PROBE_KEY),
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -9,6 +9,7 @@
   StoreEvent,
   StoreFailure,
   StoreListing,
+  StoreRevisions,
   StoreState,
   Swap,
   SwapOutcome,
--- a/packages/platform/src/key-value-store.ts
+++ b/packages/platform/src/key-value-store.ts
@@ -41,7 +41,7 @@
 
 /** Which store it is, and how far it has come. */
 export interface StoreState {
-  /** Another one after the store was put back from a backup. */
+  /** Another one after the store was put back from a backup, unless its members were set up as they had been. */
   readonly storeId: string;
   readonly revision: number;
 }
@@ -50,6 +50,11 @@
   readonly values: readonly StoredValue[];
 }
 
+/** Which revision wrote each key last. */
+export interface StoreRevisions extends StoreState {
+  readonly revisions: ReadonlyMap<string, number>;
+}
+
 export interface WatchOptions {
   readonly prefix: string;
   /** The first revision of interest: one past that of the listing before it. */
@@ -62,6 +67,8 @@
 export interface KeyValueStore {
   get(key: string): Promise<Result<StoredValue | undefined, StoreFailure>>;
   list(prefix: string): Promise<Result<StoreListing, StoreFailure>>;
+  /** As {@link list}, without the values. */
+  revisions(prefix: string): Promise<Result<StoreRevisions, StoreFailure>>;
   /** The store's present state: a cheap sign that it answers. */
   state(): Promise<Result<StoreState, StoreFailure>>;
   compareAndSwap(swap: Swap): Promise<Result<SwapOutcome, StoreFailure>>;
--- a/packages/platform/tests/etcd-store.test.ts
+++ b/packages/platform/tests/etcd-store.test.ts
@@ -50,6 +50,15 @@
 }
 
 describe('EtcdStore', () => {
+  it('tells the revisions of keys without their values', async () => {
+    await create('a/1', 'first');
+    await create('b/1', 'other');
+    const { revision } = (await store.state()).unwrap();
+    const told = (await store.revisions('a/')).unwrap();
+    expect(told).toMatchObject({ revision, storeId: expect.any(String) as string });
+    expect([...told.revisions]).toEqual([['a/1', revision - 1]]);
+  });
+
   it('writes only over the revision that is expected', async () => {
     await create('a/1', 'first');
     const held = (await store.get('a/1')).unwrap();
--- a/packages/test-utils/src/etcd-stand-in.ts
+++ b/packages/test-utils/src/etcd-stand-in.ts
@@ -5,7 +5,11 @@
 import { z } from 'zod';
 import { KeyValueEngine } from './key-value-engine.js';
 
-const rangeRequestSchema = z.object({ key: z.string(), range_end: z.string().optional() });
+const rangeRequestSchema = z.object({
+  key: z.string(),
+  range_end: z.string().optional(),
+  keys_only: z.boolean().default(false),
+});
 
 const transactionRequestSchema = z.object({
   compare: z.array(z.object({ key: z.string(), mod_revision: z.coerce.number() })).length(1),
@@ -72,7 +76,10 @@
           ? []
           : [single]
         : this.engine.list(key).values;
-    return { header: this.#header(), kvs: values.map(toWire), count: String(values.length) };
+    const kvs = values
+      .map(toWire)
+      .map((entry) => (request.keys_only ? { ...entry, value: '' } : entry));
+    return { header: this.#header(), kvs, count: String(values.length) };
   }
 
   #transact(request: z.infer<typeof transactionRequestSchema>, response: ServerResponse): void {
--- a/packages/test-utils/src/fake-store.ts
+++ b/packages/test-utils/src/fake-store.ts
@@ -3,6 +3,7 @@
   StoredValue,
   StoreFailure,
   StoreListing,
+  StoreRevisions,
   StoreState,
   Swap,
   SwapOutcome,
@@ -44,6 +45,13 @@
     return this.#read(() => this.engine.list(prefix));
   }
 
+  async revisions(prefix: string): Promise<Result<StoreRevisions, StoreFailure>> {
+    return this.#read(() => {
+      const { values, ...state } = this.engine.list(prefix);
+      return { ...state, revisions: new Map(values.map(({ key, revision }) => [key, revision])) };
+    });
+  }
+
   async state(): Promise<Result<StoreState, StoreFailure>> {
     return this.#read(() => this.engine.state);
   }
--- a/packages/test-utils/src/key-value-engine.ts
+++ b/packages/test-utils/src/key-value-engine.ts
@@ -117,11 +117,13 @@
     return { values: new Map(this.#values), revision: this.#revision };
   }
 
-  /** Puts an earlier state back; as with etcd, the store is then another one. */
-  restore({ values, revision }: StoreBackup): void {
+  /**
+   * Puts an earlier state back; as with etcd, the store is then another one, unless its members are set up as they were.
+   */
+  restore({ values, revision }: StoreBackup, { keepsId = false } = {}): void {
     this.#values = new Map(values);
     this.#revision = revision;
-    this.#storeId++;
+    this.#storeId += keepsId ? 0 : 1;
     this.#events = [];
     this.cutWatches();
   }
