fix: positions of ferrylockd are not held twice where the store was put back under the same id

Records of positions name the store that they were written to, so that after a restore they are doubted until their holders have written them again. Under the same cluster id none was doubted: a position that a restored store showed as vacant was taken by another daemon while its holder went on using it (13 of 12 parts of a limit in use).

Cause: the id of the store was taken to be another one after each restore.

Change: each daemon knows the restore by the records' revisions, as configuration does, and doubts records up to the store's revision then.

Left: a daemon that starts between the restore and the first rewriting has nothing to know it by.

--- a/packages/control/src/allotments/position-record.ts
+++ b/packages/control/src/allotments/position-record.ts
@@ -6,6 +6,9 @@
 /** Keys in the platform's key-value service. */
 export const LAYOUT_KEY = 'ferrylock/layout';
 
+/** Stands for a store's life before it was put back under the same id; no store has this id. */
+const FORMER_STORE = '';
+
 const holderSchema = z.object({
   id: z.string(),
   incarnation: z.string(),
@@ -43,24 +46,31 @@
   return `ferrylock/positions/${group}/`;
 }
 
-/** The records of the given positions; one that was never written is vacant. */
+/**
+ * The records of the given positions; one that was never written is vacant.
+ *
+ * @param doubtedUpTo - revision up to which records may be older than what was written, since the store was put back; 0 where it was not
+ */
 export function readPositions(
   positions: readonly Position[],
   { values, storeId }: StoreListing,
+  doubtedUpTo = 0,
 ): StoredPosition[] {
   const byKey = new Map(values.map((value) => [value.key, value]));
   return positions.map((position) => {
     const stored = byKey.get(positionKey(position));
-    const record = parseRecord(stored?.value) ?? vacantRecord(storeId);
-    return {
-      position,
-      record,
-      revision: stored?.revision ?? 0,
-      isDoubtful: record.storeId !== storeId,
-    };
+    const revision = stored?.revision ?? 0;
+    const read = parseRecord(stored?.value) ?? vacantRecord(storeId);
+    // The doubt goes with the record into whatever is written from it, until it is written anew.
+    const record = isDoubted(revision, doubtedUpTo) ? { ...read, storeId: FORMER_STORE } : read;
+    return { position, record, revision, isDoubtful: record.storeId !== storeId };
   });
 }
 
+function isDoubted(revision: number, upTo: number): boolean {
+  return upTo > 0 && revision <= upTo;
+}
+
 function parseRecord(text: string | undefined): PositionRecord | undefined {
   if (text === undefined) {
     return undefined;
--- a/packages/control/src/allotments/position-store.ts
+++ b/packages/control/src/allotments/position-store.ts
@@ -1,6 +1,7 @@
-import type { KeyValueStore } from '@ferrylock/platform';
+import type { KeyValueStore, StoreListing } from '@ferrylock/platform';
 import type { Clock, Logger } from '@ferrylock/utils';
 import type { Member } from '../membership/member.js';
+import { SeenRevisions } from '../seen-revisions.js';
 import type { LimitRegister } from './limit-register.js';
 import type { Position, PositionLayout } from './position-layout.js';
 import { groupOf, listPositions, positionLayoutSchema } from './position-layout.js';
@@ -31,6 +32,10 @@
   #layout: PositionLayout;
   #layoutKnown = false;
   #group: readonly Position[] = [];
+  readonly #seen = new SeenRevisions();
+  #hasRead = false;
+  /** Revision up to which records are doubted, since the store was put back. */
+  #doubtedUpTo = 0;
 
   constructor(options: PositionStoreOptions) {
     this.#options = options;
@@ -56,13 +61,29 @@
     const askedAt = this.#options.clock.now();
     const prefix = positionPrefix(groupOf(this.#layout, this.#options.self()));
     const listing = await this.#options.store.list(prefix);
-    return listing.isErr()
-      ? undefined
-      : {
-          positions: readPositions(this.#group, listing.value),
-          storeId: listing.value.storeId,
-          askedAt,
-        };
+    if (listing.isErr()) {
+      return undefined;
+    }
+    this.#notePutBack(listing.value);
+    return {
+      positions: readPositions(this.#group, listing.value, this.#doubtedUpTo),
+      storeId: listing.value.storeId,
+      askedAt,
+    };
+  }
+
+  /** Where the store was put back under the same id, records up to its revision then may be older than what was written. */
+  #notePutBack({ values, ...state }: StoreListing): void {
+    const present = {
+      ...state,
+      revisions: new Map(values.map(({ key, revision }) => [key, revision])),
+    };
+    if (this.#hasRead && !this.#seen.isContinuedBy(present)) {
+      this.#doubtedUpTo = state.revision;
+      this.#options.logger.warn('positions in a store that was put back', { ...state });
+    }
+    this.#hasRead = true;
+    this.#seen.replace(present);
   }
 
   /** Writes a record if it has not changed since it was read; says whether it surely was written. */
--- a/packages/control/tests/allotments/positions.test.ts
+++ b/packages/control/tests/allotments/positions.test.ts
@@ -135,12 +135,29 @@
     fleet.stop();
   });
 
-  it('are neither lost nor held twice when the store comes back older', async () => {
+  it.each([
+    ['another one', false],
+    ['the same one', true],
+  ])(
+    'are neither lost nor held twice when the store comes back older as %s',
+    async (_case, keepsId) => {
+      const { fleet, everStarted } = await startFleet();
+      const backup = fleet.engine.backUp();
+      fleet.kill(fleet.node(4));
+      await advanceChecking(fleet, everStarted, 240_000);
+      fleet.engine.restore(backup, { keepsId });
+      await advanceChecking(fleet, everStarted, 300_000);
+      expect(usableUnits(fleet.nodes)).toBe(LIMIT.units);
+      fleet.stop();
+    },
+  );
+
+  it('are not held twice where the store comes back as the same one, from a time when fewer were held', async () => {
     const { fleet, everStarted } = await startFleet();
-    const backup = fleet.engine.backUp();
     fleet.kill(fleet.node(4));
-    await advanceChecking(fleet, everStarted, 240_000);
-    fleet.engine.restore(backup);
+    await advanceChecking(fleet, everStarted, 5_000);
+    const empty = { values: new Map(), revision: 1 };
+    fleet.engine.restore(empty, { keepsId: true });
     await advanceChecking(fleet, everStarted, 300_000);
     expect(usableUnits(fleet.nodes)).toBe(LIMIT.units);
     fleet.stop();
