--- a/packages/bench/src/benches.ts
+++ b/packages/bench/src/benches.ts
@@ -10,6 +10,7 @@
 import { overload } from './benches/overload.js';
 import { proxy } from './benches/proxy.js';
 import { quotas } from './benches/quotas.js';
+import { storeReturn } from './benches/store-return.js';
 import { suspectCost } from './benches/suspect-cost.js';
 import { restCost } from './benches/rest-cost.js';
 import { rests } from './benches/rests.js';
@@ -36,6 +37,7 @@
   'suspect-cost': suspectCost,
   'rest-cost': restCost,
   rests,
+  'store-return': storeReturn,
   'target-limits': targetLimits,
   suspects,
 };
--- a/packages/entry/src/fleet-member.ts
+++ b/packages/entry/src/fleet-member.ts
@@ -61,7 +61,7 @@
  * comes to know, what it tells them, and the routing that follows from it.
  */
 export class FleetMember {
-  readonly view = new FleetView();
+  readonly view: FleetView;
   readonly state: RoutingState;
   readonly peers: PeerTable;
   /** Keeps client accounts to their limits. */
@@ -89,7 +89,8 @@
   constructor(options: FleetMemberOptions) {
     this.#options = options;
     const { settings, clock, events } = options;
-    const { view } = this;
+    const view = new FleetView(settings.leftOut);
+    this.view = view;
     this.#hostNames = [settings.name];
     this.#tasks = new BackgroundTasks(events.logger);
     this.#health = new StoreHealth(clock, events);
@@ -179,6 +180,7 @@
     });
     this.#watch = new StoreWatch({
       ...options,
+      leftOut: settings.leftOut,
       view,
       health: this.#health,
       isNeeded: () => duty.isNeeded,
--- a/packages/entry/src/fleet/fleet-view.ts
+++ b/packages/entry/src/fleet/fleet-view.ts
@@ -1,3 +1,5 @@
+import type { LeftOut } from '@ferrylock/routing';
+import { NOTHING_LEFT_OUT } from '@ferrylock/routing';
 import type { FleetChange, FleetRecord } from './fleet-record.js';
 import type { StorePosition } from './store-position.js';
 import { epochOf, isAfter, laterOf, NO_POSITION, positionOf } from './store-position.js';
@@ -44,11 +46,16 @@
   lastChange: StorePosition = NO_POSITION;
   /** When the store is known to have held nothing newer, in monotonic milliseconds. */
   confirmedAt = -Infinity;
-  readonly #entries = new ViewEntries();
+  readonly #entries: ViewEntries;
   readonly #history = new ViewHistory();
   readonly #listeners: FleetListener[] = [];
   readonly #returnListeners: ((returned: StoreReturn) => void)[] = [];
 
+  /** @param leftOut - mechanisms to do without, to compare with */
+  constructor(leftOut: LeftOut = NOTHING_LEFT_OUT) {
+    this.#entries = new ViewEntries(!leftOut.has('kept-records'));
+  }
+
   get revision(): number {
     return this.position.revision;
   }
--- a/packages/entry/src/fleet/store-watch.ts
+++ b/packages/entry/src/fleet/store-watch.ts
@@ -1,3 +1,4 @@
+import type { LeftOut } from '@ferrylock/routing';
 import { BackgroundTasks, jittered } from '@ferrylock/utils';
 import type { Clock, Random } from '@ferrylock/utils';
 import type { EventLog } from '../events.js';
@@ -31,6 +32,7 @@
   readonly store: FleetStore;
   readonly view: FleetView;
   readonly health: StoreHealth;
+  readonly leftOut: LeftOut;
   /** Whether this host is to wait at the store now, rather than hear from others who do. */
   readonly isNeeded: () => boolean;
   /** How long this host lets others go before it reads everything anew, in milliseconds. */
@@ -94,7 +96,10 @@
    * for everything by all of them at once, nor again and again by one.
    */
   async #readAnew(signal: AbortSignal): Promise<FleetStoreFailure | undefined> {
-    const { clock, random, view, turnMilliseconds } = this.#options;
+    const { clock, random, view, turnMilliseconds, leftOut } = this.#options;
+    if (leftOut.has('reading-in-turns')) {
+      return this.#list();
+    }
     const known = view.position;
     const rest = this.#listedAt + jittered(random, LISTING_PAUSE_MILLISECONDS) - clock.now();
     await clock.sleep(Math.max(turnMilliseconds(), rest), signal);
@@ -103,7 +108,7 @@
 
   /** Reads everything. */
   async #list(): Promise<FleetStoreFailure | undefined> {
-    const { clock, store, view, askOthers } = this.#options;
+    const { clock, store, view, askOthers, leftOut } = this.#options;
     const askedAt = clock.now();
     const known = view.position;
     this.#listedAt = askedAt;
@@ -112,7 +117,7 @@
       return this.#failed('list', listing.error);
     }
     const { revision } = listing.value;
-    const epoch = lifeOfListing(listing.value, known);
+    const epoch = leftOut.has('store-lives') ? epochOf(known) : lifeOfListing(listing.value, known);
     const changes = listing.value.changes.map((change) => ({ ...change, epoch }));
     const takeTold = view.isEmpty ? await askOthers({ epoch, revision }, changes) : undefined;
     const knownRevision = view.revision;
@@ -125,7 +130,7 @@
   }
 
   async #wait(signal: AbortSignal): Promise<FleetStoreFailure | undefined> {
-    const { clock, store, view } = this.#options;
+    const { clock, store, view, leftOut } = this.#options;
     const askedAt = clock.now();
     const after = view.position;
     const answer = await store.waitForChanges(after.revision, WAIT_MILLISECONDS);
@@ -133,7 +138,8 @@
       return this.#failed('watch', answer.error);
     }
     const { revision } = answer.value;
-    const epoch = lifeOfAnswer(answer.value.epoch, after);
+    const told = leftOut.has('store-lives') ? undefined : answer.value.epoch;
+    const epoch = lifeOfAnswer(told, after);
     this.progress.record(answer.value, view.revision);
     if (epoch !== epochOf(after) || revision < after.revision) {
       // The numbers after which changes were asked for are of another life than the answer's.
--- a/packages/entry/src/fleet/view-entries.ts
+++ b/packages/entry/src/fleet/view-entries.ts
@@ -25,6 +25,9 @@
   #keptMark: string | undefined;
   #isKeptMarkKnown = true;
 
+  /** @param keepsRecords - whether what is known beyond a store that came back from a copy is kept */
+  constructor(readonly keepsRecords: boolean) {}
+
   /** Everything held, without what is gone. */
   get present(): FleetChange[] {
     return [...this.#latest.values()].filter(({ record }) => record !== undefined);
@@ -200,6 +203,9 @@
   }
 
   #isNewsOfOtherLife(change: FleetChange, latest: FleetChange): boolean {
+    if (!this.keepsRecords) {
+      return isAfter(change, latest);
+    }
     const order = orderOf(change, latest);
     if (order !== undefined) {
       return order === 'newer';
--- a/packages/entry/tests/fleet/store-watch.test.ts
+++ b/packages/entry/tests/fleet/store-watch.test.ts
@@ -1,3 +1,4 @@
+import { NOTHING_LEFT_OUT } from '@ferrylock/routing';
 import { FakeClock } from '@ferrylock/test-utils';
 import { SeededRandom } from '@ferrylock/utils';
 import { Err, Ok } from 'ts-results-es';
@@ -53,6 +54,7 @@
     store,
     view,
     health,
+    leftOut: NOTHING_LEFT_OUT,
     isNeeded: () => duty.isNeeded,
     turnMilliseconds: () => duty.turnMilliseconds,
     askOthers: () => Promise.resolve(duty.takeTold),
--- a/packages/routing/src/mechanisms.ts
+++ b/packages/routing/src/mechanisms.ts
@@ -26,6 +26,12 @@
   'limit',
   /** A limit that another host heard counts here too. */
   'told-limits',
+  /** A store that came back from a copy begins another life, whose revisions come after those of the life before. */
+  'store-lives',
+  /** What is known beyond what such a store holds is kept until it is written again. */
+  'kept-records',
+  /** Few hosts read everything anew, and tell the others. */
+  'reading-in-turns',
 ] as const;
 
 export type Mechanism = (typeof MECHANISMS)[number];
