fix: the hosts that watch the store read it anew first, also in fleets in which few hosts are relays

Turns to read everything anew went by the rank among all hosts. In a fleet of hundreds the three that watch are ranked among relays alone, so that where the store forgot its history in a calm time each of them could have waited a second for others that had nothing to say.

--- a/packages/entry/src/watch-duty.ts
+++ b/packages/entry/src/watch-duty.ts
@@ -45,17 +45,25 @@
   }
 
   get isNeeded(): boolean {
-    const { clock, view, isRelay, relayNames, ownName } = this.#options;
+    const { clock, view } = this.#options;
     const age = clock.now() - view.confirmedAt;
     if (view.isEmpty || age > STALE_MILLISECONDS + this.#stagger()) {
       return true;
     }
-    return isRelay() && watchOrder(relayNames()).slice(0, WATCHERS).includes(ownName);
+    return this.#place() < WATCHERS;
   }
 
-  /** How long this host lets others go before it reads everything anew. */
+  /** How long this host lets others go before it reads everything anew: those first that wait at the store, whose word reaches all soonest. */
   get turnMilliseconds(): number {
-    return Math.min(LONGEST_TURN_MILLISECONDS, this.#ownRank() * TURN_STEP_MILLISECONDS);
+    const place = Math.min(this.#place(), WATCHERS + this.#ownRank());
+    return Math.min(LONGEST_TURN_MILLISECONDS, place * TURN_STEP_MILLISECONDS);
+  }
+
+  /** Its place among those that are to wait at the store; infinite where it is no relay. */
+  #place(): number {
+    const { isRelay, relayNames, ownName } = this.#options;
+    const place = isRelay() ? watchOrder(relayNames()).indexOf(ownName) : -1;
+    return place < 0 ? Infinity : place;
   }
 
   #stagger(): number {
--- a/packages/entry/tests/watch-duty.test.ts
+++ b/packages/entry/tests/watch-duty.test.ts
@@ -21,7 +21,7 @@
       }),
   );
   const needed = (): string[] => HOSTS.filter((_, index) => duties[index]?.isNeeded);
-  return { clock, view, needed };
+  return { clock, view, duties, needed };
 }
 
 describe('WatchDuty', () => {
@@ -48,4 +48,24 @@
     await clock.advance(240);
     expect(needed()).toEqual(HOSTS);
   });
+
+  it('has those that watch read everything anew first, one after the other, and all others within a second', () => {
+    const relays = HOSTS.slice(4, 9);
+    const { clock, view, duties, needed } = makeDuties(relays);
+    view.replace({ revision: 1 }, [targetChange(1)]);
+    view.confirm({ revision: 1 }, clock.now());
+    const watching = new Set(needed());
+    const turns = duties.map(({ turnMilliseconds }, index) => ({
+      isWatching: watching.has(HOSTS[index] ?? ''),
+      turnMilliseconds,
+    }));
+    const turnsOf = (isWatching: boolean): number[] =>
+      turns
+        .filter((turn) => turn.isWatching === isWatching)
+        .map(({ turnMilliseconds }) => turnMilliseconds)
+        .sort((one, other) => one - other);
+    expect(new Set(turnsOf(true)).size).toBe(3);
+    expect(Math.max(...turnsOf(true))).toBeLessThan(Math.min(...turnsOf(false)));
+    expect(Math.max(...turnsOf(false))).toBeLessThanOrEqual(1_000);
+  });
 });
