--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -10,6 +10,7 @@
 import type { FleetStore } from './fleet/fleet-store.js';
 import type { FleetView } from './fleet/fleet-view.js';
 import { largeHosts } from './fleet/large-hosts.js';
+import { toldOfEpoch } from './fleet/store-position.js';
 import { FleetMember } from './fleet-member.js';
 import { metricsText } from './metrics-text.js';
 import { PeerClient } from './peers/peer-client.js';
@@ -171,7 +172,11 @@
     return metricsText(this.metrics, {
       beliefAgeMilliseconds: clock.now() - view.confirmedAt,
       knownRevision: view.revision,
-      store: storeProgress,
+      store: {
+        epoch: Math.max(storeProgress.epoch, toldOfEpoch(view.epoch)),
+        revision: storeProgress.revision,
+        refusedListings: storeProgress.refusedListings,
+      },
       configurationVersion: state.active?.version,
       peersHeard: hosts.filter((host) => peers.isAlive(host)).length,
       targetsKnown: services.reduce((sum, { targets }) => sum + targets.size, 0),
