fix: what others keep beyond the store is given up too by a host that heard of it late

What callers saw: nothing yet; found on reading the change. A host that started in the first seconds after a return took over what others keep (hosts that are missing, evacuations) and never gave it up, since the time to write again had not begun for it: a dead host counted in every division of a limit there, an evacuation would not have ended.

Change: the time begins wherever something is kept, and again while something is. A digest's news count what is kept, so that a datagram stays small. The test failed before (one of 13 hosts knew it 20 s later).

--- a/packages/entry/src/fleet-member.ts
+++ b/packages/entry/src/fleet-member.ts
@@ -83,8 +83,8 @@
   #hosts: readonly EntryHostRecord[] = [];
   #hostNames: readonly string[];
   #isLeaving = false;
-  /** When the store was learned to have come back, while others may still write again what it lost; else infinite. */
-  #returnedAt = Infinity;
+  /** Since when others may write again what a store that came back from a copy had lost; undefined where nothing is kept for that. */
+  #keptSince: number | undefined;
 
   constructor(options: FleetMemberOptions) {
     this.#options = options;
@@ -267,7 +267,7 @@
 
   #takeReturn({ former, position, kept, missing }: StoreReturn): void {
     const { clock, events } = this.#options;
-    this.#returnedAt = clock.now();
+    this.#keptSince = clock.now();
     this.#health.recordReturn();
     this.#registration?.recordReturn();
     events.write({
@@ -329,11 +329,16 @@
     return seeds.length > 0 && this.view.isEmpty && !signal.aborted;
   }
 
-  /** Once all that write to the store have had time to write again, what it lacks is gone. */
+  /** Once all that write to the store have had time to write again, what it lacks is gone; also what others told later that they keep. */
   #settle(now: number): void {
+    if (this.view.isSettled) {
+      this.#keptSince = undefined;
+      return;
+    }
+    this.#keptSince ??= now;
     const spread = returnSpreadMilliseconds(this.#hostNames.length);
-    if (now - this.#returnedAt >= WRITTEN_AGAIN_MILLISECONDS + spread) {
-      this.#returnedAt = Infinity;
+    if (now - this.#keptSince >= WRITTEN_AGAIN_MILLISECONDS + spread) {
+      this.#keptSince = now;
       this.view.settle();
     }
   }
--- a/packages/entry/src/fleet/fleet-view.ts
+++ b/packages/entry/src/fleet/fleet-view.ts
@@ -83,6 +83,11 @@
     return this.#entries.keptMark;
   }
 
+  /** Whether all that is known is what the store holds, so that there is nothing to {@link settle}. */
+  get isSettled(): boolean {
+    return this.#entries.isSettled;
+  }
+
   /** Everything of a kind; the same array while nothing of the kind changes. */
   records<Kind extends FleetRecord['kind']>(
     kind: Kind,
--- a/packages/entry/src/fleet/view-entries.ts
+++ b/packages/entry/src/fleet/view-entries.ts
@@ -60,6 +60,11 @@
     return this.#keptMark;
   }
 
+  /** Whether all that is known is what the store holds. */
+  get isSettled(): boolean {
+    return this.keptMark === undefined && this.#words.size === 0;
+  }
+
   /** Everything of a kind; the same array while nothing of the kind changes. */
   records<Kind extends FleetRecord['kind']>(
     kind: Kind,
--- a/packages/entry/src/peers/message-writer.ts
+++ b/packages/entry/src/peers/message-writer.ts
@@ -224,7 +224,8 @@
   #newsAfter(position: StorePosition): FleetDelta | undefined {
     const { view } = this.#options;
     const delta = isAfter(view.lastChange, position) ? view.deltaAfter(position) : undefined;
-    return delta !== undefined && delta.changes.length <= MOST_NEWS ? delta : undefined;
+    const rows = (delta?.changes.length ?? 0) + (delta?.kept?.length ?? 0);
+    return rows <= MOST_NEWS ? delta : undefined;
   }
 
   /** A new answer of the store to this host itself goes out under the number of this report. */
--- a/packages/entry/tests/fleet/store-return.test.ts
+++ b/packages/entry/tests/fleet/store-return.test.ts
@@ -169,6 +169,24 @@
     },
   );
 
+  it('a host that does not come back is given up by all, also by one that starts then and hears of it from the others', async () => {
+    const { clock, fleet } = await makeFleet();
+    const since = async (): Promise<void> => {
+      fleet.addHost();
+      await clock.advance(3_000);
+    };
+    await returnFromCopy({ clock, fleet, since });
+    const [gone] = fleet.hosts.splice(-1);
+    await Promise.all([gone?.member.close(), clock.advance(700)]);
+    fleet.addHost(20);
+    await clock.advance(1_000);
+    const knowing = (): number =>
+      fleet.hosts.filter(({ member }) => member.hostNames.includes('host-12')).length;
+    expect(knowing()).toBe(fleet.hosts.length);
+    await clock.advance(20_000);
+    expect(knowing()).toBe(0);
+  });
+
   it('no lease of its former life is renewed or ended, whose number may be another host’s by now', async () => {
     const { clock, fleet } = await makeFleet();
     const since = async (): Promise<void> => {
--- a/packages/test-utils/src/entry-fleet.ts
+++ b/packages/test-utils/src/entry-fleet.ts
@@ -213,9 +213,13 @@
     }
   }
 
-  /** Starts one host more. */
-  addHost(): void {
-    this.#startHost(this.hosts.length);
+  /**
+   * Starts one host more.
+   *
+   * @param index - its number, which names it
+   */
+  addHost(index = this.hosts.length): void {
+    this.#startHost(index);
   }
 
   /** Cuts a host off from the store, or ends that. */
