--- a/packages/entry/src/fleet-member.ts
+++ b/packages/entry/src/fleet-member.ts
@@ -3,15 +3,13 @@
 import { AccountDuty } from './accounts/account-duty.js';
 import type { EntryHostSettings } from './entry-host-settings.js';
 import type { EventLog } from './events.js';
-import type { EntryHostRecord, FleetChange } from './fleet/fleet-record.js';
+import type { EntryHostRecord } from './fleet/fleet-record.js';
 import type { FleetStore } from './fleet/fleet-store.js';
-import type { StoreReturn } from './fleet/fleet-view.js';
 import { FleetView } from './fleet/fleet-view.js';
-import type { StorePosition } from './fleet/store-position.js';
-import { epochOf } from './fleet/store-position.js';
-import { HostRegistration, returnSpreadMilliseconds } from './fleet/host-registration.js';
+import { HostRegistration } from './fleet/host-registration.js';
 import { StoreHealth } from './fleet/store-health.js';
 import type { StoreProgress } from './fleet/store-progress.js';
+import { ReturnDuty } from './fleet/return-duty.js';
 import { StoreWatch } from './fleet/store-watch.js';
 import { LimitDuty } from './limits/limit-duty.js';
 import type { OpenDatagrams } from './peers/datagrams.js';
@@ -32,16 +30,6 @@
 /** Pause between two rounds of asking the seeds while nothing is known. */
 const SEED_PAUSE_MILLISECONDS = 300;
 
-/** Hosts that one that starts asks what they know beyond the store. */
-const ASKED_AT_START = 2;
-/** Longest that it waits for them: several times the way between two regions and back. */
-const ASK_MILLISECONDS = 300;
-/**
- * After the store's return, beside the time in which hosts write themselves again: records of targets that no longer write go after
- * three heartbeats.
- */
-const WRITTEN_AGAIN_MILLISECONDS = 5_000;
-
 export interface FleetMemberOptions {
   readonly settings: EntryHostSettings;
   readonly clock: Clock;
@@ -79,12 +67,11 @@
   readonly #placement: PlacementDuty;
   readonly #exchange: PeerExchange;
   readonly #watch: StoreWatch;
+  readonly #returns: ReturnDuty;
   #registration: HostRegistration | undefined;
   #hosts: readonly EntryHostRecord[] = [];
   #hostNames: readonly string[];
   #isLeaving = false;
-  /** Since when others may write again what a store that came back from a copy had lost; undefined where nothing is kept for that. */
-  #keptSince: number | undefined;
 
   constructor(options: FleetMemberOptions) {
     this.#options = options;
@@ -185,10 +172,17 @@
       health: this.#health,
       isNeeded: () => duty.isNeeded,
       turnMilliseconds: () => duty.turnMilliseconds,
-      askOthers: (position, listed) => this.#askOthers(position, listed),
+      askOthers: (position, listed) => this.#returns.askOthers(position, listed),
+    });
+    this.#returns = new ReturnDuty({
+      ...options,
+      view,
+      changes: this.changes,
+      hosts: () => this.#hostNames.length,
     });
-    view.onReturn((returned) => {
-      this.#takeReturn(returned);
+    view.onReturn(() => {
+      this.#health.recordReturn();
+      this.#registration?.recordReturn();
     });
     view.onChanges((changes) => {
       if (changes.some(({ record }) => record === undefined || record.kind === 'entryHost')) {
@@ -265,52 +259,6 @@
     return this.#hosts.find((host) => host.name === name)?.incarnation;
   }
 
-  #takeReturn({ former, position, kept, missing }: StoreReturn): void {
-    const { clock, events } = this.#options;
-    this.#keptSince = clock.now();
-    this.#health.recordReturn();
-    this.#registration?.recordReturn();
-    events.write({
-      event: 'store-return',
-      epoch: epochOf(position),
-      formerEpoch: epochOf(former),
-      revision: position.revision,
-      knownRevision: former.revision,
-      kept: kept.filter((key) => !missing.includes(key)),
-      missing: [...missing],
-    });
-  }
-
-  /**
-   * Others may know more than a store that came back from a copy: a host that starts asks some of them before it serves by
-   * what the store holds.
-   */
-  async #askOthers(position: StorePosition, listed: readonly FleetChange[]): Promise<() => void> {
-    const { settings, clock } = this.#options;
-    const others = listed
-      .flatMap(({ record }) => (record?.kind === 'entryHost' ? [record.host] : []))
-      .filter(({ name }) => name !== settings.name);
-    const near = others.filter(({ region }) => region === settings.region);
-    const ranked = rendezvousRank(settings.name, near.length > 0 ? near : others, nameOf);
-    const asked = ranked.slice(0, ASKED_AT_START);
-    const askedAt = clock.now();
-    const takes: (() => void)[] = [];
-    const answers = asked.map(async ({ controlAddress }) => {
-      const answer = await this.changes.ask(controlAddress, position);
-      if (answer !== undefined) {
-        takes.push(() => {
-          this.changes.take(controlAddress, answer, askedAt);
-        });
-      }
-    });
-    await Promise.race([Promise.all(answers), clock.sleep(ASK_MILLISECONDS)]);
-    return () => {
-      takes.forEach((take) => {
-        take();
-      });
-    };
-  }
-
   /** Learns from the seeds while nothing is known, as when the store is away. */
   async #askSeeds(signal: AbortSignal): Promise<void> {
     const { settings, clock } = this.#options;
@@ -329,20 +277,6 @@
     return seeds.length > 0 && this.view.isEmpty && !signal.aborted;
   }
 
-  /** Once all that write to the store have had time to write again, what it lacks is gone; also what others told later that they keep. */
-  #settle(now: number): void {
-    if (this.view.isSettled) {
-      this.#keptSince = undefined;
-      return;
-    }
-    this.#keptSince ??= now;
-    const spread = returnSpreadMilliseconds(this.#hostNames.length);
-    if (now - this.#keptSince >= WRITTEN_AGAIN_MILLISECONDS + spread) {
-      this.#keptSince = now;
-      this.view.settle();
-    }
-  }
-
   async #sweep(signal: AbortSignal): Promise<void> {
     const { clock, events, onSweep } = this.#options;
     let before = clock.now();
@@ -360,14 +294,10 @@
       this.accounts.sweep();
       this.limits.sweep();
       this.suspects.sweep();
-      this.#settle(now);
+      this.#returns.sweep();
       this.#health.recordConfirmation(this.view.confirmedAt);
       this.state.sweep();
       this.#placement.sweep();
     }
   }
 }
-
-function nameOf({ name }: EntryHostRecord): string {
-  return name;
-}
--- a/packages/entry/src/fleet/fleet-view.ts
+++ b/packages/entry/src/fleet/fleet-view.ts
@@ -1,37 +1,15 @@
 import type { LeftOut } from '@ferrylock/routing';
 import { NOTHING_LEFT_OUT } from '@ferrylock/routing';
+import type { FleetDelta } from './fleet-delta.js';
 import type { FleetChange, FleetRecord } from './fleet-record.js';
 import type { StorePosition } from './store-position.js';
 import { epochOf, isAfter, laterOf, NO_POSITION, positionOf } from './store-position.js';
+import type { StoreReturn } from './store-return.js';
 import { ViewEntries } from './view-entries.js';
 import { ViewHistory } from './view-history.js';
 
-/** Changes that lead from one position to another. */
-export interface FleetDelta {
-  readonly afterEpoch?: number | undefined;
-  readonly afterRevision: number;
-  readonly epoch?: number | undefined;
-  readonly revision: number;
-  /** Revision of the newest change that whoever tells it knows, where that may be none of these. */
-  readonly lastChange?: number | undefined;
-  readonly changes: readonly FleetChange[];
-  /** What is known beyond the store's present life. */
-  readonly kept?: readonly FleetChange[] | undefined;
-}
-
 export type FleetListener = (changes: readonly FleetChange[]) => void;
 
-/** That the store has come back from a copy, as this host learned it. */
-export interface StoreReturn {
-  /** How far its life before was known. */
-  readonly former: StorePosition;
-  readonly position: StorePosition;
-  /** Keys of which more is known than the store holds now. */
-  readonly kept: readonly string[];
-  /** Of these, keys that the store holds no more. */
-  readonly missing: readonly string[];
-}
-
 /**
  * What this entry host believes that the store holds: every key's latest change, up to a position. It never goes back, whatever order news
  * comes in and from whom.
--- a/packages/entry/tests/fleet/view-return.test.ts
+++ b/packages/entry/tests/fleet/view-return.test.ts
@@ -4,7 +4,7 @@
 import { describe, expect, it } from 'vitest';
 import type { FleetChange, FleetRecord } from '../../src/index.js';
 import { FleetView } from '../../src/index.js';
-import type { StoreReturn } from '../../src/fleet/fleet-view.js';
+import type { StoreReturn } from '../../src/fleet/store-return.js';
 import type { StorePosition } from '../../src/fleet/store-position.js';
 import { configurationChange, hostChange, targetChange } from '../fixtures.js';
 
