--- a/packages/control/src/allotments/position-store.ts
+++ b/packages/control/src/allotments/position-store.ts
@@ -1,7 +1,7 @@
 import type { KeyValueStore, StoreListing } from '@ferrylock/platform';
 import type { Clock, Logger } from '@ferrylock/utils';
 import type { Member } from '../membership/member.js';
-import { SeenRevisions } from '../seen-revisions.js';
+import { revisionsOf, SeenRevisions } from '../seen-revisions.js';
 import type { LimitRegister } from './limit-register.js';
 import type { Position, PositionLayout } from './position-layout.js';
 import { groupOf, listPositions, positionLayoutSchema } from './position-layout.js';
@@ -73,14 +73,12 @@
   }
 
   /** Where the store was put back under the same id, records up to its revision then may be older than what was written. */
-  #notePutBack({ values, ...state }: StoreListing): void {
-    const present = {
-      ...state,
-      revisions: new Map(values.map(({ key, revision }) => [key, revision])),
-    };
+  #notePutBack(listing: StoreListing): void {
+    const present = revisionsOf(listing);
     if (this.#hasRead && !this.#seen.isContinuedBy(present)) {
-      this.#doubtedUpTo = state.revision;
-      this.#options.logger.warn('positions in a store that was put back', { ...state });
+      const { storeId, revision } = listing;
+      this.#doubtedUpTo = revision;
+      this.#options.logger.warn('positions in a store that was put back', { storeId, revision });
     }
     this.#hasRead = true;
     this.#seen.replace(present);
--- a/packages/control/src/configuration/configuration-sync.ts
+++ b/packages/control/src/configuration/configuration-sync.ts
@@ -15,7 +15,7 @@
 import { applyDelta, makeDelta } from './configuration-delta.js';
 import { CONFIGURATION_PREFIX, configurationKey } from './configuration-keys.js';
 import type { ConfigurationReplica } from './configuration-replica.js';
-import { SeenRevisions } from '../seen-revisions.js';
+import { revisionsOf, SeenRevisions } from '../seen-revisions.js';
 import { readStoredDocument } from './stored-document.js';
 
 /** Daemons of each failure domain that watch the store. */
@@ -258,10 +258,8 @@
     if (listing.isErr()) {
       return listing.error;
     }
-    const { values, ...state } = listing.value;
     await this.#takeListing(listing.value);
-    const revisions = new Map(values.map(({ key, revision }) => [key, revision]));
-    this.#seen.replace({ ...state, revisions });
+    this.#seen.replace(revisionsOf(listing.value));
     this.#mustList = false;
     return undefined;
   }
--- a/packages/control/src/seen-revisions.ts
+++ b/packages/control/src/seen-revisions.ts
@@ -1,4 +1,4 @@
-import type { StoreRevisions } from '@ferrylock/platform';
+import type { StoreListing, StoreRevisions } from '@ferrylock/platform';
 
 /**
  * Revisions of keys as they were seen last, by which a store that was put back from a backup is known again. Its id may be the
@@ -42,3 +42,8 @@
     return !isOverwritten && [...this.#revisions.keys()].every((key) => revisions.has(key));
   }
 }
+
+/** The revisions of what a listing holds. */
+export function revisionsOf({ values, ...state }: StoreListing): StoreRevisions {
+  return { ...state, revisions: new Map(values.map(({ key, revision }) => [key, revision])) };
+}
--- a/packages/control/tests/configuration/configuration-sync.test.ts
+++ b/packages/control/tests/configuration/configuration-sync.test.ts
@@ -17,6 +17,21 @@
   return [...new Set(fleet.nodes.map((node) => node.replica.generation('atec')))];
 }
 
+/** A fleet that knows generation 2, and a backup of its store that has generation 1. */
+async function startBackedUp() {
+  const fleet = await ControlFleet.start(FLEET);
+  await change(fleet, fleet.node(0), 0);
+  const backup = fleet.engine.backUp();
+  await change(fleet, fleet.node(0), 1);
+  await fleet.clock.advance(1_000);
+  return { fleet, backup };
+}
+
+function storedGeneration({ engine }: ControlFleet): number | undefined {
+  const text = engine.get('ferrylock/configuration/atec')?.value ?? '{}';
+  return (JSON.parse(text) as { generation?: number }).generation;
+}
+
 /** Advances until every daemon holds the generation; returns the time that took, or undefined. */
 async function timeUntilInForce(
   fleet: ControlFleet,
@@ -94,46 +109,28 @@
   });
 
   it('keeps the newer configuration when the store comes back older, and gives it back', async () => {
-    const fleet = await ControlFleet.start(FLEET);
-    await change(fleet, fleet.node(0), 0);
-    const backup = fleet.engine.backUp();
-    await change(fleet, fleet.node(0), 1);
-    await fleet.clock.advance(1_000);
+    const { fleet, backup } = await startBackedUp();
     fleet.engine.restore(backup);
     await fleet.clock.advance(10_000);
     expect(generations(fleet)).toEqual([2]);
-    const stored = JSON.parse(fleet.engine.get('ferrylock/configuration/atec')?.value ?? '{}') as {
-      generation: number;
-    };
-    expect(stored.generation).toBe(2);
+    expect(storedGeneration(fleet)).toBe(2);
     fleet.stop();
   });
 
   it('gives back what the store lost, where it came back as the same one and has counted past what was seen', async () => {
-    const fleet = await ControlFleet.start(FLEET);
-    await change(fleet, fleet.node(0), 0);
-    const backup = fleet.engine.backUp();
-    await change(fleet, fleet.node(0), 1);
-    await fleet.clock.advance(1_000);
+    const { fleet, backup } = await startBackedUp();
     fleet.engine.restore(backup, { keepsId: true });
     for (let count = 0; count < 20; count++) {
       fleet.engine.compareAndSwap({ key: `other/${count}`, expectedRevision: 0, value: '' });
     }
     await fleet.clock.advance(10_000);
     expect(generations(fleet)).toEqual([2]);
-    const stored = JSON.parse(fleet.engine.get('ferrylock/configuration/atec')?.value ?? '{}') as {
-      generation: number;
-    };
-    expect(stored.generation).toBe(2);
+    expect(storedGeneration(fleet)).toBe(2);
     fleet.stop();
   });
 
   it('does not steer by an older configuration of a store put back, at a daemon that starts beside others that know the newer', async () => {
-    const fleet = await ControlFleet.start(FLEET);
-    await change(fleet, fleet.node(0), 0);
-    const backup = fleet.engine.backUp();
-    await change(fleet, fleet.node(0), 1);
-    await fleet.clock.advance(1_000);
+    const { fleet, backup } = await startBackedUp();
     fleet.kill(fleet.node(11));
     fleet.nodes.forEach((node) => {
       node.store.setCutOff(true);
--- a/packages/entry/src/request/target-words.ts
+++ b/packages/entry/src/request/target-words.ts
@@ -1,4 +1,5 @@
 import type { ServiceTargets, TargetState } from '@ferrylock/routing';
+import { FirstMentions } from '@ferrylock/utils';
 import type { Clock } from '@ferrylock/utils';
 import type { EventLog } from '../events.js';
 import type { AnswerFacts } from './dialect.js';
@@ -18,10 +19,6 @@
   'isLeaving' | 'restMilliseconds' | 'limitPerSecond' | 'unknownHeaders'
 >;
 
-/** Names of headers that are written down; more would rather be a fault at a target. */
-const MOST_UNKNOWN_HEADERS = 32;
-const LONGEST_NAME_CHARACTERS = 64;
-
 export interface TargetWordsOptions {
   readonly clock: Clock;
   readonly events: EventLog;
@@ -41,7 +38,7 @@
   limits = 0;
   /** Requests that were sent to targets while these named a limit. */
   limitedSends = 0;
-  readonly #unknownHeaders = new Set<string>();
+  readonly #unknownHeaders = new FirstMentions();
   readonly #options: TargetWordsOptions;
 
   constructor(options: TargetWordsOptions) {
@@ -102,11 +99,10 @@
 
   /** Each header once, and nothing of its value. */
   #takeUnknown(service: NamedService, target: TargetState, header: string): void {
-    const name = header.slice(0, LONGEST_NAME_CHARACTERS);
-    if (this.#unknownHeaders.size >= MOST_UNKNOWN_HEADERS || this.#unknownHeaders.has(name)) {
+    const name = this.#unknownHeaders.take(header);
+    if (name === undefined) {
       return;
     }
-    this.#unknownHeaders.add(name);
     const { events } = this.#options;
     events.write({
       event: 'unknown-header',
--- a/packages/entry/tests/fleet/return-fleet.ts
+++ b/packages/entry/tests/fleet/return-fleet.ts
@@ -102,3 +102,19 @@
   });
   fleet.store.put(`targets/${id}`, { kind: 'target', target });
 }
+
+/** The store comes back with a target as ready that said since the copy that it leaves, and whose record had gone by then or not. */
+export async function returnWithLeaver({ isGone }: { readonly isGone: boolean }) {
+  const { clock, fleet } = await makeFleet();
+  putTarget(fleet, 'leaver', 'ready', 1);
+  await clock.advance(1_000);
+  const since = async (): Promise<void> => {
+    putTarget(fleet, 'leaver', 'draining', 9);
+    await clock.advance(2_500);
+    if (isGone) {
+      fleet.store.remove('targets/leaver');
+    }
+  };
+  await returnFromCopy({ clock, fleet, since });
+  return { clock, fleet };
+}
--- a/packages/entry/tests/fleet/store-return.test.ts
+++ b/packages/entry/tests/fleet/store-return.test.ts
@@ -9,6 +9,7 @@
   makeFleet,
   putTarget,
   returnFromCopy,
+  returnWithLeaver,
   sampled,
   users,
   versions,
@@ -202,15 +203,7 @@
   });
 
   it('a target that left is not used again since the copy still has it', async () => {
-    const { clock, fleet } = await makeFleet();
-    putTarget(fleet, 'leaver', 'ready', 1);
-    await clock.advance(1_000);
-    const since = async (): Promise<void> => {
-      putTarget(fleet, 'leaver', 'draining', 9);
-      await clock.advance(2_500);
-      fleet.store.remove('targets/leaver');
-    };
-    await returnFromCopy({ clock, fleet, since });
+    const { clock, fleet } = await returnWithLeaver({ isGone: true });
     const used = await sampled(clock, THREE_HEARTBEATS_MILLISECONDS, () => users(fleet, 'leaver'));
     fleet.store.remove('targets/leaver');
     used.push(...(await sampled(clock, 3_000, () => users(fleet, 'leaver'))));
@@ -218,14 +211,7 @@
   });
 
   it('a target that is leaving is not free again since the copy has an older record of its start', async () => {
-    const { clock, fleet } = await makeFleet();
-    putTarget(fleet, 'leaver', 'ready', 1);
-    await clock.advance(1_000);
-    const since = async (): Promise<void> => {
-      putTarget(fleet, 'leaver', 'draining', 9);
-      await clock.advance(1_000);
-    };
-    await returnFromCopy({ clock, fleet, since });
+    const { clock, fleet } = await returnWithLeaver({ isGone: false });
     const used = await sampled(clock, 2_000, () => users(fleet, 'leaver'));
     fleet.addHost();
     used.push(...(await sampled(clock, 2_000, () => users(fleet, 'leaver'))));
@@ -233,15 +219,7 @@
   });
 
   it('a target that left is not free again where the copy’s record of it outlasts all who might write again', async () => {
-    const { clock, fleet } = await makeFleet();
-    putTarget(fleet, 'leaver', 'ready', 1);
-    await clock.advance(1_000);
-    const since = async (): Promise<void> => {
-      putTarget(fleet, 'leaver', 'draining', 9);
-      await clock.advance(2_500);
-      fleet.store.remove('targets/leaver');
-    };
-    await returnFromCopy({ clock, fleet, since });
+    const { clock, fleet } = await returnWithLeaver({ isGone: true });
     const used = await sampled(clock, 12_000, () => users(fleet, 'leaver'));
     expect(used.flat()).toEqual([]);
   });
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -2,6 +2,7 @@
 export { Cancellation } from './cancellation.js';
 export { SystemClock } from './clock.js';
 export type { Clock } from './clock.js';
+export { FirstMentions } from './first-mentions.js';
 export { formatTable } from './format-table.js';
 export { mixedHash, rendezvousRank, sha256, stableHash } from './hash.js';
 export { createLogger, silentLogger } from './logger.js';
