--- a/packages/routing/tests/limits/limit-part.test.ts
+++ b/packages/routing/tests/limits/limit-part.test.ts
@@ -16,6 +16,7 @@
 const MEASURED_MILLISECONDS = 30_000;
 const LEAST_USED = 0.85;
 const SERIES = 200;
+const RUSHES = 12;
 
 function makeFleet(hosts: number, perSecond: number, seed = 1): QuotaFleet {
   return new QuotaFleet({
@@ -92,6 +93,40 @@
     expect(fleet.mostIn(WINDOW_MILLISECONDS)).toBeLessThanOrEqual(borne(2.5));
   });
 
+  it.each([12, 75, 195])(
+    'is kept in rushes of seven times what was wanted, whatever the draws, at %i hosts',
+    (hosts) => {
+      const befores: Readonly<Record<string, (fleet: QuotaFleet) => void>> = {
+        'from ordinary load': (fleet) => {
+          fleet.ask(WANTED_PER_SECOND, alike(hosts));
+          fleet.run(SETTLE_MILLISECONDS);
+        },
+        'after a pause': (fleet) => {
+          fleet.ask(WANTED_PER_SECOND, alike(hosts));
+          fleet.run(SETTLE_MILLISECONDS);
+          fleet.ask(0, alike(hosts));
+          fleet.run(SETTLE_MILLISECONDS);
+        },
+        'from one host': (fleet) => {
+          fleet.ask(WANTED_PER_SECOND, at(hosts, 3));
+          fleet.run(SETTLE_MILLISECONDS);
+        },
+      };
+      const passed = Object.entries(befores).flatMap(([name, before]) =>
+        Array.from({ length: RUSHES }, (_, index) => index + 1)
+          .filter((seed) => {
+            const fleet = makeFleet(hosts, 1, seed);
+            before(fleet);
+            fleet.ask(7 * WANTED_PER_SECOND, alike(hosts));
+            fleet.run(SETTLE_MILLISECONDS);
+            return fleet.mostIn(WINDOW_MILLISECONDS) > borne(1);
+          })
+          .map((seed) => `${name}, seed ${seed}`),
+      );
+      expect(passed).toEqual([]);
+    },
+  );
+
   it.each([[12], [75], [300]])(
     'is kept where callers come at once to %i hosts at rest',
     (hosts) => {
