feat(entry): log and count failed sends, failed fetches and the delay of changes

The hypotheses of the incident could not be told apart: a datagram that the socket refuses was a debug line, a peer that did not return changes left no line at all, and nothing said how much a host sends, how late a change came, or by which version and whose word a 404 was decided.

Change: events send-failed and fetch-failed, one a second at most; counters of datagrams, bytes, failures, the largest datagram, calls to peers; ferrylock_change_delay_seconds; delayMilliseconds in configuration lines; version and knowledge in refused lines that follow from the configuration alone. FleetView keeps who confirmed it. Transports take bytes, encoded once for all recipients instead of once for each.

No decision changes.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -121,7 +121,13 @@
       signalRecorder: this.#signalRecorder,
       limits: limits.limits,
       bodyReader: new BodyReader(clock, settings.maxBufferedBodyBytes),
-      responses: new ResponseWriter({ ...options, view, metrics: this.metrics }),
+      responses: new ResponseWriter({
+        ...options,
+        view,
+        state,
+        viewExchange: this.#member.viewExchange,
+        metrics: this.metrics,
+      }),
       metrics: this.metrics,
       ownName: settings.name,
       isLagging: () => eventLoopDelay.isLagging,
@@ -165,7 +171,7 @@
   /** Metrics in the Prometheus text format. */
   metricsText(): string {
     const { clock, events } = this.#options;
-    const { view, peers, state, hosts, limits, storeProgress } = this.#member;
+    const { view, peers, state, hosts, limits, storeProgress, viewExchange } = this.#member;
     const services = [...state.services];
     return metricsText(this.metrics, {
       beliefAgeMilliseconds: clock.now() - view.confirmedAt,
@@ -175,6 +181,9 @@
         revision: storeProgress.revision,
         refusedListings: storeProgress.refusedListings,
       },
+      datagrams: this.#member.datagrams,
+      peerCalls: { total: viewExchange.calls, failed: viewExchange.failedCalls },
+      changeDelays: this.#member.changeDelays,
       configurationVersion: state.active?.version,
       peersHeard: hosts.filter((host) => peers.isAlive(host)).length,
       targetsKnown: services.reduce((sum, { targets }) => sum + targets.size, 0),
--- a/packages/entry/src/events.ts
+++ b/packages/entry/src/events.ts
@@ -95,6 +95,28 @@
     version: z.number(),
     routes: z.number(),
     accounts: z.number(),
+    /**
+     * Upper bound on the delay from the change in the store: time since the last confirmation that
+     * this host was up to date. Absent before the first.
+     */
+    delayMilliseconds: z.number().optional(),
+  }),
+  /** Datagrams to peers could not be sent; the first one of each second is logged. */
+  z.object({
+    event: z.literal('send-failed'),
+    address: z.string(),
+    bytes: z.number(),
+    detail: z.string(),
+    /** Failed sends since the start. */
+    failed: z.number(),
+  }),
+  /** A peer did not return the changes that this host lacks; the first in each second is logged. */
+  z.object({
+    event: z.literal('fetch-failed'),
+    address: z.string(),
+    detail: z.string(),
+    /** Failed calls since the start. */
+    failed: z.number(),
   }),
   /** A peer has become alive, or has timed out. */
   z.object({
@@ -209,6 +231,20 @@
     attempts: z.number(),
     milliseconds: z.number(),
     beliefAgeMilliseconds: z.number(),
+    /** What the decision was based on, if it follows from the configuration alone. */
+    knowledge: z
+      .object({
+        /** Time since the version became active on this host. */
+        versionAgeMilliseconds: z.number(),
+        /** Store revision up to which this host knows every change. */
+        revision: z.number(),
+        /** Last confirmation that the host was up to date: `store`, or a peer. */
+        confirmedBy: z.string(),
+        /** Calls to peers for changes since the start, and how many of them failed. */
+        peerCalls: z.number(),
+        failedPeerCalls: z.number(),
+      })
+      .optional(),
   }),
   /** A target answered a request late or after more than one attempt. */
   z.object({
--- a/packages/entry/src/fleet-member.ts
+++ b/packages/entry/src/fleet-member.ts
@@ -6,12 +6,14 @@
 import type { EntryHostRecord } from './fleet/fleet-record.js';
 import type { FleetStore } from './fleet/fleet-store.js';
 import { FleetView } from './fleet/fleet-view.js';
+import { ChangeDelays } from './fleet/change-delays.js';
 import { HostRegistration } from './fleet/host-registration.js';
 import { StoreHealth } from './fleet/store-health.js';
 import type { StoreProgress } from './fleet/store-progress.js';
 import { StoreRestoreController } from './fleet/store-restore-controller.js';
 import { StoreWatch } from './fleet/store-watch.js';
 import { TargetLimitController } from './limits/target-limit-controller.js';
+import type { DatagramCounts } from './peers/datagram-counts.js';
 import type { CreateTransport } from './peers/datagram-transport.js';
 import type { PeerCalls } from './peers/peer-calls.js';
 import { PeerExchange } from './peers/peer-exchange.js';
@@ -59,6 +61,8 @@
   readonly suspects: SuspectController;
   /** Exchanges views with peers. */
   readonly viewExchange: ViewExchange;
+  /** Delays until this host applied changes of the store. */
+  readonly changeDelays = new ChangeDelays();
   readonly #options: FleetMemberOptions;
   readonly #tasks: BackgroundTasks;
   readonly #storeHealth: StoreHealth;
@@ -184,12 +188,18 @@
       this.#registration?.recordRestore();
     });
     view.onChanges((changes) => {
+      this.changeDelays.record(changes.length, clock.now() - view.confirmedAt);
       if (changes.some(({ record }) => record === undefined || record.kind === 'entryHost')) {
         this.#updateHosts();
       }
     });
   }
 
+  /** Counts of the datagrams that this host sends to peers. */
+  get datagrams(): DatagramCounts {
+    return this.#exchange.counts;
+  }
+
   /** Whether this host has stopped accepting new callers. */
   get isLeaving(): boolean {
     return this.#isLeaving;
--- a/packages/entry/src/fleet/fleet-view.ts
+++ b/packages/entry/src/fleet/fleet-view.ts
@@ -8,6 +8,14 @@
 import { ViewEntries } from './view-entries.js';
 import { ViewHistory } from './view-history.js';
 
+/** A confirmation that a view held everything that the store did. */
+export interface ViewConfirmation {
+  /** Monotonic time in milliseconds. */
+  readonly at: number;
+  /** `store`, or the peer that passed it on. */
+  readonly source: string;
+}
+
 export type FleetListener = (changes: readonly FleetChange[]) => void;
 
 /**
@@ -22,8 +30,8 @@
    * change, so hosts can compare it.
    */
   lastChange: StorePosition = NO_POSITION;
-  /** Monotonic time at which the view was last known to be up to date, in milliseconds. */
-  confirmedAt = -Infinity;
+  /** Newest confirmation that the view was up to date. */
+  confirmation: ViewConfirmation = { at: -Infinity, source: 'none' };
   readonly #entries: ViewEntries;
   readonly #history = new ViewHistory();
   readonly #changeListeners: FleetListener[] = [];
@@ -41,6 +49,11 @@
     return epochOf(this.position);
   }
 
+  /** Monotonic time at which the view was last known to be up to date, in milliseconds. */
+  get confirmedAt(): number {
+    return this.confirmation.at;
+  }
+
   get isEmpty(): boolean {
     return this.revision === 0;
   }
@@ -93,10 +106,11 @@
   }
 
   /** Records that this was the newest change of the store at a point in time. */
-  confirm(lastChange: StorePosition, at: number): void {
+  confirm(lastChange: StorePosition, confirmation: ViewConfirmation): void {
     const isCurrentEpoch = epochOf(lastChange) === epochOf(this.lastChange);
-    if (isCurrentEpoch && !isAfter(this.lastChange, lastChange)) {
-      this.confirmedAt = Math.max(this.confirmedAt, at);
+    const isNewer = confirmation.at > this.confirmedAt;
+    if (isNewer && isCurrentEpoch && !isAfter(this.lastChange, lastChange)) {
+      this.confirmation = confirmation;
     }
   }
 
--- a/packages/entry/src/fleet/store-watch.ts
+++ b/packages/entry/src/fleet/store-watch.ts
@@ -161,7 +161,7 @@
   #recordResponse(position: StorePosition, { source, confirmedAt, changes }: StoreResponse): void {
     const { view, health, events } = this.#options;
     if (view.epoch === epochOf(position)) {
-      view.confirm(view.lastChange, confirmedAt);
+      view.confirm(view.lastChange, { at: confirmedAt, source: 'store' });
     }
     health.recordSuccess(confirmedAt);
     if (changes.length > 0) {
--- a/packages/entry/src/metrics-text.ts
+++ b/packages/entry/src/metrics-text.ts
@@ -1,4 +1,7 @@
+import type { Histogram } from 'hdr-histogram-js';
+import type { ChangeDelays } from './fleet/change-delays.js';
 import type { StoreProgress } from './fleet/store-progress.js';
+import type { DatagramCounts } from './peers/datagram-counts.js';
 import type { AccountRow } from './request/account-metrics.js';
 import type { ClassMetrics, RequestMetrics } from './request/request-metrics.js';
 import type { LimitedTarget } from './routing/limited-targets.js';
@@ -23,6 +26,11 @@
   readonly knownRevision: number;
   /** Progress that the store reported. */
   readonly store: Pick<StoreProgress, 'epoch' | 'revision' | 'refusedListings'>;
+  /** Datagrams that this host sent to peers. */
+  readonly datagrams: Pick<DatagramCounts, 'sent' | 'sentBytes' | 'failed' | 'largestBytes'>;
+  /** Calls to peers for changes of the store. */
+  readonly peerCalls: { readonly total: number; readonly failed: number };
+  readonly changeDelays: ChangeDelays;
   readonly configurationVersion: number | undefined;
   readonly peersHeard: number;
   readonly targetsKnown: number;
@@ -59,6 +67,15 @@
     ...gauge('known_revision', host.knownRevision),
     ...counter('refused_listings_total', host.store.refusedListings),
     ...gauge('configuration_version', host.configurationVersion ?? 0),
+    ...counter('changes_total', host.changeDelays.changes),
+    '# TYPE ferrylock_change_delay_seconds summary',
+    ...quantileLines('change_delay_seconds', host.changeDelays.bounds),
+    ...counter('datagrams_sent_total', host.datagrams.sent),
+    ...counter('datagram_bytes_sent_total', host.datagrams.sentBytes),
+    ...counter('datagrams_failed_total', host.datagrams.failed),
+    ...gauge('largest_datagram_bytes', host.datagrams.largestBytes),
+    ...counter('peer_calls_total', host.peerCalls.total),
+    ...counter('peer_calls_failed_total', host.peerCalls.failed),
     ...gauge('peers_heard', host.peersHeard),
     ...gauge('targets_known', host.targetsKnown),
     ...counter('retries_total', metrics.retries),
@@ -103,11 +120,15 @@
   const counts = [...outcomes].map(
     ([outcome, count]) => `ferrylock_requests_total{class="${name}",outcome="${outcome}"} ${count}`,
   );
-  const quantiles = QUANTILES.map((quantile) => {
-    const seconds = latency.getValueAtPercentile(quantile * 100) / MILLISECONDS_PER_SECOND;
-    return `ferrylock_request_seconds{class="${name}",quantile="${quantile}"} ${seconds}`;
+  return [...counts, ...quantileLines('request_seconds', latency, `class="${name}",`)];
+}
+
+/** @param labels - further labels, each followed by a comma */
+function quantileLines(name: string, milliseconds: Histogram, labels = ''): string[] {
+  return QUANTILES.map((quantile) => {
+    const seconds = milliseconds.getValueAtPercentile(quantile * 100) / MILLISECONDS_PER_SECOND;
+    return `ferrylock_${name}{${labels}quantile="${quantile}"} ${seconds}`;
   });
-  return [...counts, ...quantiles];
 }
 
 function accountLines({ account, ...counts }: AccountRow): string[] {
--- a/packages/entry/src/peers/datagram-transport.ts
+++ b/packages/entry/src/peers/datagram-transport.ts
@@ -2,7 +2,8 @@
 export interface DatagramTransport {
   /** Starts receiving and returns the bound address with its port. */
   listen(address: string): Promise<string>;
-  send(address: string, text: string): void;
+  /** @param onFailure - called with the reason if the datagram could not be sent */
+  send(address: string, datagram: Buffer, onFailure: (reason: string) => void): void;
   close(): void;
 }
 
--- a/packages/entry/src/peers/peer-exchange.ts
+++ b/packages/entry/src/peers/peer-exchange.ts
@@ -4,6 +4,7 @@
 import type { EntryHostRecord } from '../fleet/fleet-record.js';
 import type { StorePosition } from '../fleet/store-position.js';
 import { isAfter, positionOf } from '../fleet/store-position.js';
+import { DatagramCounts } from './datagram-counts.js';
 import type { DatagramTransport, CreateTransport } from './datagram-transport.js';
 import type { UpdateSource } from '../suspects/suspect-controller.js';
 import type { HostStatus } from './host-status.js';
@@ -65,6 +66,7 @@
  * fleet to their own domain. Store changes that a digest does not carry are fetched by RPC.
  */
 export class PeerExchange {
+  readonly counts: DatagramCounts;
   readonly #options: PeerExchangeOptions;
   readonly #transport: DatagramTransport;
   readonly #tasks: BackgroundTasks;
@@ -82,6 +84,7 @@
 
   constructor(options: PeerExchangeOptions) {
     this.#options = options;
+    this.counts = new DatagramCounts(options.clock, options.events);
     this.#confirmations = new StoreConfirmations(options.clock);
     this.#tasks = new BackgroundTasks(options.events.logger);
     this.#transport = options.createTransport((text) => {
@@ -247,7 +250,7 @@
     this.#fetchRetained(name, fields);
     if (storeAnswer !== undefined && confirmedAt !== undefined) {
       const position = { epoch: storeAnswer.epoch, revision: storeAnswer.lastChange };
-      view.confirm(position, confirmedAt);
+      view.confirm(position, { at: confirmedAt, source: storeAnswer.name });
     }
   }
 
@@ -293,11 +296,15 @@
   }
 
   #send(hosts: readonly EntryHostRecord[], write: (lowestPosition: StorePosition) => string): void {
-    if (hosts.length > 0) {
-      const text = write(this.#lowestPosition(hosts));
-      for (const { reportAddress } of hosts) {
-        this.#transport.send(reportAddress, text);
-      }
+    if (hosts.length === 0) {
+      return;
+    }
+    const datagram = Buffer.from(write(this.#lowestPosition(hosts)));
+    for (const { reportAddress } of hosts) {
+      this.counts.recordSend(datagram.length);
+      this.#transport.send(reportAddress, datagram, (reason) => {
+        this.counts.recordFailure(reportAddress, datagram.length, reason);
+      });
     }
   }
 
--- a/packages/entry/src/peers/udp-transport.ts
+++ b/packages/entry/src/peers/udp-transport.ts
@@ -29,11 +29,11 @@
     return `${host}:${this.#socket.address().port}`;
   }
 
-  send(address: string, text: string): void {
+  send(address: string, datagram: Buffer, onFailure: (reason: string) => void): void {
     const { host, port } = splitAddress(address);
-    this.#socket.send(text, port, host, (error) => {
+    this.#socket.send(datagram, port, host, (error) => {
       if (error !== null) {
-        this.events.logger.debug('failed to send datagram', { address, error: String(error) });
+        onFailure(String(error));
       }
     });
   }
--- a/packages/entry/src/peers/view-exchange.ts
+++ b/packages/entry/src/peers/view-exchange.ts
@@ -1,3 +1,4 @@
+import { Throttle } from '@ferrylock/utils';
 import type { Clock } from '@ferrylock/utils';
 import type { EventLog } from '../events.js';
 import type { FleetView } from '../fleet/fleet-view.js';
@@ -8,6 +9,8 @@
 
 /** Minimum interval between calls to peers; batches rapid changes, as when all hosts start. */
 const MIN_FETCH_INTERVAL_MILLISECONDS = 150;
+/** Interval between log lines about failed calls. */
+const LOG_INTERVAL_MILLISECONDS = 1_000;
 
 export interface ViewExchangeOptions {
   readonly clock: Clock;
@@ -20,12 +23,17 @@
 
 /** Serves store changes to peers over RPC and fetches changes from them. */
 export class ViewExchange {
+  /** Number of calls to peers for changes. */
+  calls = 0;
+  failedCalls = 0;
   readonly #options: ViewExchangeOptions;
+  readonly #throttle: Throttle;
   #isFetching = false;
   #fetchedAt = -Infinity;
 
   constructor(options: ViewExchangeOptions) {
     this.#options = options;
+    this.#throttle = new Throttle(options.clock, LOG_INTERVAL_MILLISECONDS);
   }
 
   /** Returns the changes that a peer lacks, or a snapshot. */
@@ -58,8 +66,13 @@
 
   /** Requests a peer's changes since a position; undefined if it does not answer or has none. */
   async ask(address: string, after: StorePosition): Promise<DeltaResult | undefined> {
+    this.calls++;
     const result = await this.#options.client.delta(address, after);
-    return result.isErr() || result.value.revision === 0 ? undefined : result.value;
+    if (result.isErr()) {
+      this.#recordFailure(address, result.error);
+      return undefined;
+    }
+    return result.value.revision === 0 ? undefined : result.value;
   }
 
   /** Applies a delta that a peer returned. */
@@ -72,7 +85,8 @@
       view.apply(delta);
     }
     if (answeredAgeMilliseconds !== undefined && epochOf(delta) === view.epoch) {
-      view.confirm(view.lastChange, requestedAt - answeredAgeMilliseconds);
+      const at = requestedAt - answeredAgeMilliseconds;
+      view.confirm(view.lastChange, { at, source: address });
     }
     this.logChanges(address, delta);
   }
@@ -102,6 +116,14 @@
     }
   }
 
+  #recordFailure(address: string, detail: string): void {
+    this.failedCalls++;
+    if (this.#throttle.tryAdmit()) {
+      const { events } = this.#options;
+      events.write({ event: 'fetch-failed', address, detail, failed: this.failedCalls });
+    }
+  }
+
   #storeAnswerAge(): number | undefined {
     const { clock, storeAnsweredAt } = this.#options;
     const age = clock.now() - storeAnsweredAt();
--- a/packages/entry/src/request/refusal.ts
+++ b/packages/entry/src/request/refusal.ts
@@ -50,6 +50,11 @@
   return ran === 'unknown' && status === 503 ? 502 : status;
 }
 
+/** Checks whether the configuration alone determined the refusal. */
+export function isByConfiguration({ reason }: Refusal): boolean {
+  return reason === 'unknown-route' || reason === 'unknown-key' || reason === 'no-common-region';
+}
+
 /** Checks whether a retry is safe and may succeed. */
 export function isRetryable({ reason, ran, retryAfterSeconds }: Refusal): boolean {
   return ran === 'no' && (reason !== 'targets-end' || retryAfterSeconds !== undefined);
--- a/packages/entry/src/request/response-writer.ts
+++ b/packages/entry/src/request/response-writer.ts
@@ -1,12 +1,14 @@
 import { jittered } from '@ferrylock/utils';
 import type { Clock, Random } from '@ferrylock/utils';
-import type { EventLog } from '../events.js';
+import type { EntryEvent, EventLog } from '../events.js';
 import type { FleetView } from '../fleet/fleet-view.js';
+import type { RoutingState } from '../routing/routing-state.js';
+import type { ViewExchange } from '../peers/view-exchange.js';
 import type { CallerExchange, RoutedExchange } from './caller-exchange.js';
 import type { HeaderCodec } from './header-codec.js';
 import { forwardableHeaders } from './forwardable-headers.js';
 import type { Refusal } from './refusal.js';
-import { isRetryable, sendRefusal, statusOf } from './refusal.js';
+import { isByConfiguration, isRetryable, sendRefusal, statusOf } from './refusal.js';
 import type { RequestMetrics } from './request-metrics.js';
 import type { TargetResponse } from './target-client.js';
 
@@ -20,6 +22,8 @@
   readonly random: Random;
   readonly events: EventLog;
   readonly view: FleetView;
+  readonly state: Pick<RoutingState, 'active'>;
+  readonly viewExchange: Pick<ViewExchange, 'calls' | 'failedCalls'>;
   readonly codec: HeaderCodec;
   readonly metrics: RequestMetrics;
 }
@@ -82,7 +86,8 @@
   /** Sends a refusal, which tells the caller whether the request may have run. */
   refuse(exchange: CallerExchange & Partial<RoutedExchange>, refusal: Refusal, attempts = 0): void {
     const { clock, random, codec, metrics, events, view } = this.#options;
-    const { requestId = exchange.metadata.requestId, route, account, version } = exchange;
+    const { requestId = exchange.metadata.requestId, route, account } = exchange;
+    const version = exchange.version ?? this.#options.state.active?.version;
     const milliseconds = clock.now() - exchange.arrivedAt;
     metrics.recordRefusal(route?.kind ?? 'none', `${refusal.reason}/${refusal.ran}`, milliseconds);
     if (account !== undefined) {
@@ -113,6 +118,25 @@
       attempts,
       milliseconds: Math.round(milliseconds),
       beliefAgeMilliseconds: Math.round(clock.now() - view.confirmedAt),
+      ...(isByConfiguration(refusal) ? this.#knowledge() : {}),
     });
   }
+
+  /** What this host knew when it applied its configuration to a request. */
+  #knowledge(): Pick<Extract<EntryEvent, { event: 'refused' }>, 'knowledge'> {
+    const { clock, state, view, viewExchange } = this.#options;
+    const { active } = state;
+    if (active === undefined) {
+      return {};
+    }
+    return {
+      knowledge: {
+        versionAgeMilliseconds: Math.round(clock.now() - active.activeSince),
+        revision: view.revision,
+        confirmedBy: view.confirmation.source,
+        peerCalls: viewExchange.calls,
+        failedPeerCalls: viewExchange.failedCalls,
+      },
+    };
+  }
 }
--- a/packages/entry/src/routing/routing-state.ts
+++ b/packages/entry/src/routing/routing-state.ts
@@ -46,6 +46,8 @@
 /** A configuration with its lookup tables. */
 interface ActiveConfiguration {
   readonly version: number;
+  /** Monotonic time in milliseconds at which it became active. */
+  readonly activeSince: number;
   readonly routes: RouteTable;
   readonly limits: CallerLimits;
   /** Admits a caller to a route by its account key. */
@@ -196,8 +198,11 @@
     const accounts =
       configuration.accounts && new AccountTable(configuration.accounts, lowestRoutePriority);
     const lowestPriority = accounts?.lowestPriority ?? lowestRoutePriority;
+    const { clock, view } = this.#options;
+    const activeSince = clock.now();
     this.#active = {
       version,
+      activeSince,
       routes: new RouteTable(routes),
       limits,
       admit: (route, key) => accounts?.admit(route, key) ?? Ok({ route, account: undefined }),
@@ -214,6 +219,9 @@
       version,
       routes: routes.length,
       accounts: accounts?.accounts.length ?? 0,
+      ...(Number.isFinite(view.confirmedAt)
+        ? { delayMilliseconds: Math.round(activeSince - view.confirmedAt) }
+        : {}),
     });
   }
 
--- a/packages/entry/tests/fleet/fleet-view.test.ts
+++ b/packages/entry/tests/fleet/fleet-view.test.ts
@@ -97,10 +97,10 @@
   it('is confirmed only at its newest change', () => {
     const view = new FleetView();
     view.replace({ revision: 5 }, [hostChange(5)]);
-    view.confirm({ revision: 4 }, 100);
+    view.confirm({ revision: 4 }, { at: 100, source: 'store' });
     expect(view.confirmedAt).toBe(-Infinity);
-    view.confirm({ revision: 5 }, 100);
-    view.confirm({ revision: 5 }, 50);
+    view.confirm({ revision: 5 }, { at: 100, source: 'store' });
+    view.confirm({ revision: 5 }, { at: 50, source: 'store' });
     expect(view.confirmedAt).toBe(100);
   });
 
--- a/packages/entry/tests/metrics-text.test.ts
+++ b/packages/entry/tests/metrics-text.test.ts
@@ -1,8 +1,15 @@
 import { describe, expect, it } from 'vitest';
+import { ChangeDelays } from '../src/fleet/change-delays.js';
 import { metricsText } from '../src/metrics-text.js';
 import { RequestMetrics } from '../src/request/request-metrics.js';
 
+const CHANGE_DELAYS = new ChangeDelays();
+CHANGE_DELAYS.record(3, 250);
+
 const HOST_METRICS = {
+  datagrams: { sent: 40, sentBytes: 9_000, failed: 2, largestBytes: 1_200 },
+  peerCalls: { total: 5, failed: 1 },
+  changeDelays: CHANGE_DELAYS,
   beliefAgeMilliseconds: 250,
   configurationVersion: 7,
   knownRevision: 73,
@@ -51,6 +58,14 @@
         'ferrylock_store_revision 70',
         'ferrylock_known_revision 73',
         'ferrylock_refused_listings_total 61',
+        'ferrylock_changes_total 3',
+        'ferrylock_change_delay_seconds{quantile="0.99"} 0.25',
+        'ferrylock_datagrams_sent_total 40',
+        'ferrylock_datagram_bytes_sent_total 9000',
+        'ferrylock_datagrams_failed_total 2',
+        'ferrylock_largest_datagram_bytes 1200',
+        'ferrylock_peer_calls_total 5',
+        'ferrylock_peer_calls_failed_total 1',
         'ferrylock_targets_ended_total 2',
         'ferrylock_suspect_requests 1',
         'ferrylock_unreadable_records_total 4',
--- /dev/null
+++ b/packages/entry/tests/peers/udp-transport.test.ts
@@ -0,0 +1,29 @@
+import { expect, it, onTestFinished } from 'vitest';
+import { UdpTransport } from '../../src/peers/udp-transport.js';
+import { captureEvents } from '../fixtures.js';
+
+/** Largest payload of a UDP datagram over IPv4. */
+const MAX_PAYLOAD_BYTES = 65_507;
+
+function open(onMessage: (text: string) => void) {
+  const transport = new UdpTransport(captureEvents().log, onMessage);
+  onTestFinished(() => {
+    transport.close();
+  });
+  return transport;
+}
+
+it('reports a datagram that the network does not carry, and delivers the next', async () => {
+  let deliver: (text: string) => void = () => undefined;
+  const received = new Promise<string>((resolve) => {
+    deliver = resolve;
+  });
+  const address = await open(deliver).listen('127.0.0.1:0');
+  const sender = open(() => undefined);
+  const failure = await new Promise<string>((resolve) => {
+    sender.send(address, Buffer.alloc(MAX_PAYLOAD_BYTES + 1), resolve);
+  });
+  expect(failure).toContain('EMSGSIZE');
+  sender.send(address, Buffer.from('next'), deliver);
+  expect(await received).toBe('next');
+});
--- a/packages/entry/tests/watcher-selection.test.ts
+++ b/packages/entry/tests/watcher-selection.test.ts
@@ -32,7 +32,7 @@
   it('selects the same three relays at every host', () => {
     const { clock, view, watchers } = makeSelections(HOSTS.slice(4, 9));
     view.replace({ revision: 1 }, [targetChange(1)]);
-    view.confirm({ revision: 1 }, clock.now());
+    view.confirm({ revision: 1 }, { at: clock.now(), source: 'store' });
     expect(watchers()).toHaveLength(3);
     expect(HOSTS.slice(4, 9)).toEqual(expect.arrayContaining(watchers()));
   });
@@ -40,7 +40,7 @@
   it('makes the other hosts watchers, a few at a time, when confirmations stop', async () => {
     const { clock, view, watchers } = makeSelections([]);
     view.replace({ revision: 1 }, [targetChange(1)]);
-    view.confirm({ revision: 1 }, clock.now());
+    view.confirm({ revision: 1 }, { at: clock.now(), source: 'store' });
     await clock.advance(1_500);
     expect(watchers()).toHaveLength(0);
     await clock.advance(61);
@@ -53,7 +53,7 @@
     const relays = HOSTS.slice(4, 9);
     const { clock, view, selections, watchers } = makeSelections(relays);
     view.replace({ revision: 1 }, [targetChange(1)]);
-    view.confirm({ revision: 1 }, clock.now());
+    view.confirm({ revision: 1 }, { at: clock.now(), source: 'store' });
     const watcherNames = new Set(watchers());
     const delays = selections.map(({ relistDelayMilliseconds }, index) => ({
       isWatcher: watcherNames.has(HOSTS[index] ?? ''),
--- a/packages/test-utils/src/entry-fleet.ts
+++ b/packages/test-utils/src/entry-fleet.ts
@@ -299,8 +299,8 @@
         this.#receivers.set(address, onMessage);
         return Promise.resolve(address);
       },
-      send: (address: string, text: string): void => {
-        const bytes = Buffer.byteLength(text) + DATAGRAM_HEADER_BYTES;
+      send: (address: string, datagram: Buffer): void => {
+        const bytes = datagram.length + DATAGRAM_HEADER_BYTES;
         this.counts.datagrams++;
         this.counts.bytes += bytes;
         this.counts.bytesBetweenRegions +=
@@ -308,7 +308,7 @@
         this.#options.clock.after(WAY_MILLISECONDS, () => {
           this.counts.wakeUps++;
           if (!this.#cut.has(address) && !this.#cut.has(own.reportAddress)) {
-            this.#receivers.get(address)?.(text);
+            this.#receivers.get(address)?.(datagram.toString());
           }
         });
       },
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -11,3 +11,4 @@
 export { describeParseError } from './describe-parse-error.js';
 export { jittered, pickOne, randomIndex, SeededRandom, shuffled, systemRandom } from './random.js';
 export type { Random } from './random.js';
+export { Throttle } from './throttle.js';
