--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -272,7 +272,9 @@
 
   async #logSummaries(signal: AbortSignal): Promise<void> {
     const { clock, events } = this.#options;
+    const { datagrams } = this.#member;
     let writtenAt = clock.now();
+    let sentBytes = 0;
     while (!signal.aborted) {
       await clock.sleep(1_000, signal);
       events.refill();
@@ -280,7 +282,15 @@
         writtenAt = clock.now();
         const { answered, inFlight } = this.metrics;
         this.state.logPlacement();
-        events.write({ event: 'summary', answered, dropped: events.dropped, inFlight });
+        events.write({
+          event: 'summary',
+          answered,
+          dropped: events.dropped,
+          inFlight,
+          datagramBytes: datagrams.sentBytes - sentBytes,
+          largestDatagramBytes: datagrams.largestBytes,
+        });
+        sentBytes = datagrams.sentBytes;
       }
     }
   }
--- a/packages/entry/src/events.ts
+++ b/packages/entry/src/events.ts
@@ -278,6 +278,10 @@
     answered: z.number(),
     dropped: z.number(),
     inFlight: z.number(),
+    /** Bytes of datagrams to peers since the last summary. */
+    datagramBytes: z.number(),
+    /** Size of the largest datagram since the start. */
+    largestDatagramBytes: z.number(),
   }),
 ]);
 
