test(entry): changes of the configuration that come late, failing; emulated links and pages

- FleetView: a view that lacks a change is confirmed by it; a change between two pages of a listing does not reach peers; a change of a later page counts as the newest, so that nobody asks for the ones before it.
- One call at a time to one peer.

The emulated fleet has links that queue, loses datagrams, cuts paths one way, refuses datagrams above 65,507 bytes as the socket does, and the store in memory pages its listings. A silent cut now costs a call its timeout, as on a network; before, the call failed after 4 ms. The network stands in a file of its own.

--- a/packages/bench/src/benches/fleet-cost.ts
+++ b/packages/bench/src/benches/fleet-cost.ts
@@ -1,5 +1,5 @@
 import { EntryFleet, FakeClock } from '@ferrylock/test-utils';
-import type { EntryFleetCounts } from '@ferrylock/test-utils';
+import type { NetworkTraffic } from '@ferrylock/test-utils';
 import { measureBareStart, measureHostProcess } from '../fleet/measure-host-process.js';
 import type { Bench, Row } from '../report.js';
 import { rounded } from '../report.js';
@@ -18,12 +18,12 @@
   clock: FakeClock,
   phase: keyof typeof PHASES,
 ): Promise<Row> {
-  const before: EntryFleetCounts = { ...fleet.counts };
+  const before: NetworkTraffic = { ...fleet.counts };
   const cpuBefore = process.cpuUsage();
   await clock.advance(PHASES[phase]);
   const cpu = process.cpuUsage(cpuBefore);
   const each = (fleet.hosts.length * PHASES[phase]) / MILLISECONDS_PER_SECOND;
-  const perHost = (count: keyof EntryFleetCounts): number =>
+  const perHost = (count: keyof NetworkTraffic): number =>
     rounded((fleet.counts[count] - before[count]) / each);
   return {
     hosts: fleet.hosts.length,
--- a/packages/entry/tests/fleet/fleet-view.test.ts
+++ b/packages/entry/tests/fleet/fleet-view.test.ts
@@ -104,6 +104,49 @@
     expect(view.confirmedAt).toBe(100);
   });
 
+  // Guards against a host that takes itself for up to date and does not ask the store.
+  it('is not confirmed by a confirmation of a change that it lacks', () => {
+    const view = new FleetView();
+    view.replace({ revision: 4 }, [hostChange(4)]);
+    view.confirm({ revision: 5 }, { at: 100, source: 'host-2' });
+    expect(view.confirmedAt).toBe(-Infinity);
+  });
+
+  // Guards against hosts that stay without a change which its peers hold.
+  it('passes on a change that fell between two pages of a listing', () => {
+    const view = new FleetView();
+    const peer = new FleetView();
+    peer.replace({ revision: 100 }, []);
+    const between = targetChange(101, { id: 'between' });
+    view.replace({ revision: 100 }, [between]);
+    view.apply({ afterRevision: 100, revision: 101, changes: [between] });
+    const delta = view.deltaSince(peer.position);
+    expect(delta !== undefined && peer.apply(delta)).toBe(true);
+    expect(targetIds(peer)).toEqual(['between']);
+  });
+
+  // Guards against a host that lacks a change and neither asks peers nor the store for it.
+  it('does not count a change of a later page as its newest while it may lack earlier ones', () => {
+    const view = new FleetView();
+    view.replace({ revision: 100 }, [targetChange(102, { id: 'later page' })]);
+    expect(view.lastChange).toEqual({ epoch: 0, revision: 0 });
+    const changes = [targetChange(101), targetChange(102, { id: 'later page' })];
+    view.apply({ afterRevision: 100, revision: 102, changes });
+    expect(view.lastChange).toEqual({ epoch: 0, revision: 102 });
+  });
+
+  // Guards against messages that grow with each change of one key.
+  it('provides only the latest change of a key', () => {
+    const view = new FleetView();
+    view.replace({ revision: 2 }, []);
+    for (let revision = 3; revision <= 9; revision++) {
+      const changes = [configurationChange(revision, { version: revision })];
+      view.apply({ afterRevision: revision - 1, revision, changes });
+    }
+    const changes = view.deltaSince({ revision: 2 })?.changes ?? [];
+    expect(changes.map(({ revision }) => revision)).toEqual([9]);
+  });
+
   it('notifies listeners only of new changes', () => {
     const view = new FleetView();
     const notified: string[][] = [];
--- a/packages/entry/tests/peers/view-exchange.test.ts
+++ b/packages/entry/tests/peers/view-exchange.test.ts
@@ -22,3 +22,27 @@
     { event: 'fetch-failed', address: '10.0.0.1:2', detail: 'no answer', failed: 1 },
   ]);
 });
+
+// Guards against a change that comes late because the only call waits for a peer that cannot answer.
+it('asks another peer while the first one does not answer', async () => {
+  const clock = new FakeClock();
+  const asked: string[] = [];
+  const viewExchange = new ViewExchange({
+    clock,
+    events: captureEvents().log,
+    view: new FleetView(),
+    client: {
+      delta: (address) => {
+        asked.push(address);
+        return new Promise(() => undefined);
+      },
+      close: () => Promise.resolve(),
+    },
+    storeAnsweredAt: () => -Infinity,
+  });
+  viewExchange.fetchIfIdle('10.0.0.1:2');
+  await clock.advance(200);
+  expect(viewExchange.fetchIfIdle('10.0.0.1:2')).toBe(false);
+  expect(viewExchange.fetchIfIdle('10.0.0.2:2')).toBe(true);
+  expect(asked).toEqual(['10.0.0.1:2', '10.0.0.2:2']);
+});
--- a/packages/test-utils/src/entry-fleet.ts
+++ b/packages/test-utils/src/entry-fleet.ts
@@ -1,5 +1,5 @@
-import { deltaResultSchema, EventLog, FleetMember } from '@ferrylock/entry';
-import type { EntryHostRecord, EntryHostSettings, PeerCalls } from '@ferrylock/entry';
+import { EventLog, eventSchema, FleetMember } from '@ferrylock/entry';
+import type { EntryEvent, EntryHostRecord, EntryHostSettings } from '@ferrylock/entry';
 import type {
   ClientAccount,
   DisabledMechanisms,
@@ -10,17 +10,13 @@
 import { NO_DISABLED_MECHANISMS } from '@ferrylock/routing';
 import type { Clock, Random } from '@ferrylock/utils';
 import { randomIndex, SeededRandom, silentLogger } from '@ferrylock/utils';
-import { Err, Ok } from 'ts-results-es';
 import { CountingClock } from './counting-clock.js';
+import { EmulatedNetwork } from './emulated-network.js';
+import type { NetworkTraffic } from './emulated-network.js';
 import { MemoryFleetStore } from './memory-fleet-store.js';
 import { WayToStore } from './way-to-store.js';
 import { makeRoute, makeTargetRecord } from './routes-and-targets.js';
 
-/** Time of a message between hosts. */
-const WAY_MILLISECONDS = 2;
-/** Bytes of the headers of a datagram (IPv4, UDP), and of a call and its answer (HTTP). */
-const DATAGRAM_HEADER_BYTES = 28;
-const CALL_HEADER_BYTES = 330;
 /** Hosts that are started together are ready one after the other, by what they can carry. */
 const START_SPREAD_MILLISECONDS = 2_000;
 const LARGE_CAPACITY = 1.35;
@@ -40,20 +36,11 @@
   readonly accounts?: readonly ClientAccount[];
   /** Decisions that hosts do without, to compare with. */
   readonly disabledMechanisms?: DisabledMechanisms;
-}
-
-/** What the hosts have sent so far. */
-export interface EntryFleetCounts {
-  datagrams: number;
-  /** Bytes of datagrams, headers included. */
-  bytes: number;
-  /** Of these, bytes between regions. */
-  bytesBetweenRegions: number;
-  calls: number;
-  /** Bytes of calls between hosts and their answers, headers included. */
-  callBytes: number;
-  /** Calls back of timers and messages; each of them wakes a process. */
-  wakeUps: number;
+  /** Capacity of a host's link, each way; absent: nothing waits. */
+  readonly linkBytesPerSecond?: (host: EntryHostRecord) => number;
+  /** Items in one page of the store's listings; absent: all. */
+  readonly listingPageItems?: number;
+  readonly onEvent?: (host: string, event: EntryEvent) => void;
 }
 
 /** One host of the fleet. */
@@ -70,25 +57,22 @@
 export class EntryFleet {
   readonly store: MemoryFleetStore;
   readonly hosts: EntryFleetHost[] = [];
-  readonly counts: EntryFleetCounts = {
+  readonly counts: NetworkTraffic = {
     datagrams: 0,
     bytes: 0,
     bytesBetweenRegions: 0,
+    refusedDatagrams: 0,
     calls: 0,
     callBytes: 0,
     wakeUps: 0,
   };
+  readonly network: EmulatedNetwork;
   /** Requests that found no target. */
   refused = 0;
   /** Requests that were sent, by the target's id. */
   readonly sent = new Map<string, number>();
   readonly #options: EntryFleetOptions;
   readonly #random: Random;
-  readonly #receivers = new Map<string, (text: string) => void>();
-  readonly #byControlAddress = new Map<string, FleetMember>();
-  readonly #regionOfAddress = new Map<string, string>();
-  /** Report addresses of hosts that neither hear nor reach others. */
-  readonly #cut = new Set<string>();
   readonly #waysToStore = new Map<string, WayToStore>();
   #starts = 0;
   readonly #regions: Readonly<Record<string, string>>;
@@ -96,7 +80,12 @@
   constructor(options: EntryFleetOptions) {
     this.#options = options;
     this.#random = new SeededRandom(options.seed);
-    this.store = new MemoryFleetStore(options.clock);
+    this.store = new MemoryFleetStore(options.clock, options.listingPageItems);
+    this.network = new EmulatedNetwork({
+      ...options,
+      random: new SeededRandom(options.seed),
+      counts: this.counts,
+    });
     const domains = Array.from({ length: options.domains }, (_, index) => `domain-${index}`);
     this.#regions = Object.fromEntries(
       domains.map((domain, index) => [domain, `region-${index % 3}`]),
@@ -109,9 +98,13 @@
     return this.#configuration().routes;
   }
 
-  /** Confirms a version of the configuration, as the operator does. */
-  configure(version: number): void {
-    const configuration = { ...this.#configuration(), version };
+  /** Confirms a version of the configuration, with further routes, as the operator does. */
+  configure(version: number, furtherRoutes = 0): void {
+    const { routes, ...others } = this.#configuration();
+    const further = Array.from({ length: furtherRoutes }, (_, index) =>
+      makeRoute({ name: `further-${index}`, pathPrefix: `/further/${index}/` }),
+    );
+    const configuration = { ...others, routes: [...routes, ...further], version };
     this.store.put('configuration', { kind: 'configuration', configuration });
   }
 
@@ -196,21 +189,17 @@
   /** Ends a host without notice; it starts again as another process after some time. */
   async restartHost(index: number, downMilliseconds: number): Promise<void> {
     const host = this.hosts[index];
-    this.#receivers.delete(host?.record.reportAddress ?? '');
-    this.#byControlAddress.delete(host?.record.controlAddress ?? '');
-    await host?.member.close();
+    if (host !== undefined) {
+      this.network.disconnect(host.record);
+      await host.member.close();
+    }
     await this.#options.clock.sleep(downMilliseconds);
     this.#startHost(index);
   }
 
   /** Cuts a host off from the other hosts, or ends that; the store is reached all the time. */
   setCut(index: number, isCut: boolean): void {
-    const address = this.hosts[index]?.record.reportAddress ?? '';
-    if (isCut) {
-      this.#cut.add(address);
-    } else {
-      this.#cut.delete(address);
-    }
+    this.network.setCut(`host-${index}`, isCut);
   }
 
   /**
@@ -245,21 +234,20 @@
       reportAddress: `10.0.0.${index}:3`,
       capacity: place < largeHostsPerDomain ? LARGE_CAPACITY : SMALL_CAPACITY,
     };
-    const store = new WayToStore(this.store, clock);
+    const store = new WayToStore(this.store, clock, (bytes) => this.network.receive(record, bytes));
     this.#waysToStore.set(record.name, store);
     const member = new FleetMember({
       settings: this.#settings(record),
       clock: new CountingClock(clock, this.counts),
       random: new SeededRandom(this.#options.seed + index),
-      events: new EventLog(silentLogger),
+      events: this.#eventLog(record.name),
       store,
-      peerCalls: this.#callsOf(record),
-      createTransport: (onMessage) => this.#open(record, onMessage),
+      peerCalls: this.network.callsOf(record),
+      createTransport: (onMessage) => this.network.createTransport(record, onMessage),
       onSweep: () => undefined,
       utilization: () => 0.05,
     });
-    this.#byControlAddress.set(record.controlAddress, member);
-    this.#regionOfAddress.set(record.reportAddress, region);
+    this.network.connect(record, member);
     this.#putHost({ member, record });
     void member.listen().then(() => {
       member.start(record);
@@ -293,49 +281,15 @@
     };
   }
 
-  #open(own: EntryHostRecord, onMessage: (text: string) => void) {
-    return {
-      listen: (address: string): Promise<string> => {
-        this.#receivers.set(address, onMessage);
-        return Promise.resolve(address);
-      },
-      send: (address: string, datagram: Buffer): void => {
-        const bytes = datagram.length + DATAGRAM_HEADER_BYTES;
-        this.counts.datagrams++;
-        this.counts.bytes += bytes;
-        this.counts.bytesBetweenRegions +=
-          this.#regionOfAddress.get(address) === own.region ? 0 : bytes;
-        this.#options.clock.after(WAY_MILLISECONDS, () => {
-          this.counts.wakeUps++;
-          if (!this.#cut.has(address) && !this.#cut.has(own.reportAddress)) {
-            this.#receivers.get(address)?.(datagram.toString());
-          }
-        });
-      },
-      close: (): void => {
-        this.#receivers.delete(own.reportAddress);
-      },
-    };
-  }
-
-  #callsOf(own: EntryHostRecord): PeerCalls {
-    return {
-      delta: async (address, after) => {
-        const { clock } = this.#options;
-        this.counts.calls++;
-        await clock.sleep(2 * WAY_MILLISECONDS);
-        const peer = this.#byControlAddress.get(address);
-        if (peer === undefined || this.#cut.has(own.reportAddress)) {
-          return Err('nobody answers');
-        }
-        const text = JSON.stringify(
-          peer.viewExchange.deltaFor({ afterEpoch: after.epoch, afterRevision: after.revision }),
-        );
-        this.counts.callBytes += text.length + CALL_HEADER_BYTES;
-        return Ok(deltaResultSchema.parse(JSON.parse(text)));
-      },
-      close: () => Promise.resolve(),
+  #eventLog(host: string): EventLog {
+    const { onEvent } = this.#options;
+    if (onEvent === undefined) {
+      return new EventLog(silentLogger);
+    }
+    const info = (event: string, fields?: Readonly<Record<string, unknown>>): void => {
+      onEvent(host, eventSchema.parse({ ...fields, event }));
     };
+    return new EventLog({ ...silentLogger, info });
   }
 
   #configuration(): RouteConfiguration {
--- a/packages/test-utils/src/index.ts
+++ b/packages/test-utils/src/index.ts
@@ -7,7 +7,9 @@
 } from './crash-fleet.js';
 export { EtcdStandIn } from './etcd-stand-in.js';
 export { EntryFleet } from './entry-fleet.js';
-export type { EntryFleetCounts, EntryFleetOptions } from './entry-fleet.js';
+export type { EntryFleetHost, EntryFleetOptions } from './entry-fleet.js';
+export { EmulatedNetwork, MAX_DATAGRAM_BYTES } from './emulated-network.js';
+export type { NetworkTraffic } from './emulated-network.js';
 export { FakeClock } from './fake-clock.js';
 export { FakeStore } from './fake-store.js';
 export { HostListStandIn } from './host-list-stand-in.js';
--- a/packages/test-utils/src/memory-fleet-store.ts
+++ b/packages/test-utils/src/memory-fleet-store.ts
@@ -41,6 +41,7 @@
   readonly formerLeaseCalls: number[] = [];
   #isAway = false;
   readonly #clock: Clock;
+  readonly #pageItems: number;
   readonly #entries = new Map<string, FleetChange>();
   readonly #history: FleetChange[] = [];
   readonly #waiting = new Set<() => void>();
@@ -49,8 +50,10 @@
   #historyAfter = 0;
   #nextLease = 1;
 
-  constructor(clock: Clock) {
+  /** @param pageItems - items in one page of a listing; pages are read one after the other */
+  constructor(clock: Clock, pageItems = Infinity) {
     this.#clock = clock;
+    this.#pageItems = pageItems;
   }
 
   /** Writes as the operator or a target does. */
@@ -146,9 +149,36 @@
       return Err(AWAY);
     }
     const { epoch } = this;
-    const listed = { epoch, revision: this.#revision, changes: [...this.#entries.values()] };
+    const revision = this.#revision;
+    const changes: FleetChange[] = [];
+    let page = this.#page();
     await this.#clock.sleep(WAY_MILLISECONDS);
-    return Ok(listed);
+    while (page.length === this.#pageItems) {
+      changes.push(...page);
+      await this.#clock.sleep(WAY_MILLISECONDS);
+      page = this.#page(page.at(-1)?.key);
+      await this.#clock.sleep(WAY_MILLISECONDS);
+      if (this.#isUnreachable(epoch)) {
+        return Err(AWAY);
+      }
+    }
+    return Ok({ epoch, revision, changes: [...changes, ...page] });
+  }
+
+  /** Items that follow a key, in the order of keys; all of them if listings have one page. */
+  #page(after = ''): FleetChange[] {
+    const items = [...this.#entries.values()];
+    if (this.#pageItems === Infinity) {
+      return items;
+    }
+    const following = items.filter(({ key }) => key > after);
+    following.sort((one, other) => (one.key < other.key ? -1 : 1));
+    return following.slice(0, this.#pageItems);
+  }
+
+  /** Whether the store is away or was restored since it had this epoch. */
+  #isUnreachable(epoch: number | undefined): boolean {
+    return this.#isAway || this.epoch !== epoch;
   }
 
   async waitForChanges(
--- a/packages/test-utils/src/way-to-store.ts
+++ b/packages/test-utils/src/way-to-store.ts
@@ -1,4 +1,10 @@
-import type { EntryHostRecord, FleetStore, FleetStoreFailure, HostLease } from '@ferrylock/entry';
+import type {
+  EntryHostRecord,
+  FleetChanges,
+  FleetStore,
+  FleetStoreFailure,
+  HostLease,
+} from '@ferrylock/entry';
 import type { Clock } from '@ferrylock/utils';
 import { Err } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
@@ -13,12 +19,14 @@
   constructor(
     readonly store: FleetStore,
     readonly clock: Clock,
+    /** Milliseconds until this host has received so many bytes. */
+    readonly receive: (bytes: number) => number = () => 0,
   ) {}
 
-  list: FleetStore['list'] = () => this.#call(() => this.store.list());
+  list: FleetStore['list'] = () => this.#read(() => this.store.list());
 
   waitForChanges: FleetStore['waitForChanges'] = (...call) =>
-    this.#call(() => this.store.waitForChanges(...call));
+    this.#read(() => this.store.waitForChanges(...call));
 
   register = (host: EntryHostRecord, leaseMilliseconds: number) =>
     this.#call(() => this.store.register(host, leaseMilliseconds));
@@ -32,6 +40,21 @@
 
   release = (lease: HostLease) => this.#call(() => this.store.release(lease));
 
+  /** An answer that takes too long to come in is lost. */
+  #read(call: FleetStore['list']): ReturnType<FleetStore['list']> {
+    return this.#call(async () => {
+      const answer = await call();
+      const milliseconds = answer.isOk() ? this.receive(encodedBytes(answer.value)) : 0;
+      if (milliseconds > TIMEOUT_MILLISECONDS) {
+        return Err({ kind: 'unknown', message: 'no answer' });
+      }
+      if (milliseconds > 0) {
+        await this.clock.sleep(milliseconds);
+      }
+      return answer;
+    });
+  }
+
   /** An answer that comes while the way is cut is lost too. */
   async #call<T>(
     call: () => Promise<Result<T, FleetStoreFailure>>,
@@ -44,3 +67,8 @@
     return answer;
   }
 }
+
+/** Values travel in base64. */
+function encodedBytes({ changes }: FleetChanges): number {
+  return (JSON.stringify(changes).length * 4) / 3;
+}
