fix(entry): do not keep or send changes that a newer one of the same key supersedes

Callers saw 404 by configuration 40 3 s after 47 was confirmed; hosts called each other dead.

Cause: ViewHistory kept every version of every key, so that digests and deltas repeated each configuration since the lowest position of any recipient, whole. From seven versions of 10 KB on, a digest was larger than UDP carries and was not sent at all, with who is alive, loads, limits and confirmations in it.

Change: one change for each key and epoch. A change of a previous epoch stays beside the next one's: a restored store may list a record as gone that peers retain (view-restore.test.ts fails otherwise).

--- a/packages/entry/src/fleet/fleet-view.ts
+++ b/packages/entry/src/fleet/fleet-view.ts
@@ -257,7 +257,7 @@
         ? epochOf(change) === this.epoch
         : this.#entries.recordShadowed(change);
       if (isShared) {
-        this.#history.add([change]);
+        this.#history.add(change);
       }
     }
     return applied;
--- a/packages/entry/src/fleet/view-history.ts
+++ b/packages/entry/src/fleet/view-history.ts
@@ -1,6 +1,6 @@
 import type { FleetChange } from './fleet-record.js';
 import type { StorePosition } from './store-position.js';
-import { epochOf, isAfter, NO_POSITION } from './store-position.js';
+import { epochOf, isAfter, laterOf, NO_POSITION, positionOf } from './store-position.js';
 
 const MAX_CHANGES = 2_000;
 const MAX_PREVIOUS_EPOCHS = 4;
@@ -11,9 +11,13 @@
   readonly end: StorePosition;
 }
 
-/** Latest changes in order, from which deltas for other hosts are made. */
+/**
+ * Latest change of each key that changed recently, from which deltas for other hosts are made. A
+ * change of a previous epoch is kept beside the key's change of the next one: it may be retained.
+ */
 export class ViewHistory {
-  readonly #changes: FleetChange[] = [];
+  /** By epoch and key, in the order in which they were added. */
+  readonly #changes = new Map<string, FleetChange>();
   /** Position after which the history is complete. */
   #after: StorePosition = NO_POSITION;
   /** Start of the current epoch in the history; earlier changes of it are not known one by one. */
@@ -21,16 +25,27 @@
   /** Known ranges of previous epochs, by epoch. */
   readonly #previous = new Map<number, EpochRange>();
 
-  add(changes: readonly FleetChange[]): void {
-    this.#changes.push(...changes);
-    while (this.#changes.length > MAX_CHANGES) {
-      this.#after = this.#changes.shift() ?? this.#after;
+  /** Adds a change in place of older ones of its key, which no host needs any more. */
+  add(change: FleetChange): void {
+    const id = `${epochOf(change)} ${change.key}`;
+    const known = this.#changes.get(id);
+    if (known !== undefined && isAfter(known, change)) {
+      return;
+    }
+    this.#changes.delete(id);
+    this.#changes.set(id, change);
+    for (const [oldestId, oldest] of this.#changes) {
+      if (this.#changes.size <= MAX_CHANGES) {
+        return;
+      }
+      this.#changes.delete(oldestId);
+      this.#after = laterOf(this.#after, positionOf(oldest));
     }
   }
 
   /** Discards everything up to a position. */
   reset(after: StorePosition): void {
-    this.#changes.length = 0;
+    this.#changes.clear();
     this.#after = after;
     this.#start = after;
     this.#previous.clear();
@@ -66,6 +81,6 @@
     if (!isCovered || isAfter(this.#after, position)) {
       return undefined;
     }
-    return this.#changes.filter((change) => isAfter(change, position));
+    return [...this.#changes.values()].filter((change) => isAfter(change, position));
   }
 }
