fix(entry): pass on a change that falls between two pages of a listing

Cause: a listing may hold a change after its position, since later pages are read later. The watch from that position delivers the change again, which is then known and so was not put into the history, while the position moved past it. Peers that asked for what they lacked got an empty list up to that position, and held themselves complete until the key changed again.

Change: the history takes each change that is the latest of its key, whether or not it was known before; a listing's later changes are in it at once. What it no longer covers is not added.

--- a/packages/entry/src/fleet/fleet-view.ts
+++ b/packages/entry/src/fleet/fleet-view.ts
@@ -240,6 +240,10 @@
       this.#put(change);
     }
     this.#history.reset(positionOf(position));
+    // Pages of a listing are read one after the other: later ones may hold changes after its position.
+    for (const change of this.#entries.after(position)) {
+      this.#history.add(change);
+    }
     return [...applied, ...deleted];
   }
 
@@ -253,7 +257,7 @@
         applied.push(change);
       }
       // Peers may not know what the store holds; changes of previous epochs reach them as retained.
-      const isShared = isNewer
+      const isShared = this.#entries.isLatest(change)
         ? epochOf(change) === this.epoch
         : this.#entries.recordShadowed(change);
       if (isShared) {
--- a/packages/entry/src/fleet/view-entries.ts
+++ b/packages/entry/src/fleet/view-entries.ts
@@ -148,6 +148,21 @@
     return this.#isNewerAcrossEpochs(change, latest);
   }
 
+  /** Whether a change is the latest known one of its key. */
+  isLatest(change: FleetChange): boolean {
+    const latest = this.#latest.get(change.key);
+    return (
+      latest !== undefined &&
+      epochOf(latest) === epochOf(change) &&
+      latest.revision === change.revision
+    );
+  }
+
+  /** Latest changes after a position, deletions included. */
+  after(position: StorePosition): FleetChange[] {
+    return [...this.#latest.values()].filter((change) => isAfter(change, position));
+  }
+
   /** Applies a newer change. */
   put(newer: FleetChange): void {
     const change = { ...newer };
--- a/packages/entry/src/fleet/view-history.ts
+++ b/packages/entry/src/fleet/view-history.ts
@@ -29,7 +29,8 @@
   add(change: FleetChange): void {
     const id = `${epochOf(change)} ${change.key}`;
     const known = this.#changes.get(id);
-    if (known !== undefined && isAfter(known, change)) {
+    const isSuperseded = known !== undefined && isAfter(known, change);
+    if (isSuperseded || !isAfter(change, this.#after)) {
       return;
     }
     this.#changes.delete(id);
