fix(entry): count a change as the newest only where no earlier one may be missing

Cause: lastChange, by which hosts compare what they know, followed each change that was applied. A listing of position 100 whose second page held change 102 made it 102, though a change 101 of the first page was not in it. Peers at 102 then neither told this host anything nor did it ask, and their confirmations at 102 counted for it, until the next change of anything. A configuration lies on the first page, targets on the second.

Change: lastChange is the newest change up to the position.

--- a/packages/entry/src/fleet/fleet-view.ts
+++ b/packages/entry/src/fleet/fleet-view.ts
@@ -26,8 +26,8 @@
   /** Position up to which every change is known. */
   position: StorePosition = NO_POSITION;
   /**
-   * Position of the newest known change. Unlike {@link position}, it does not advance without a
-   * change, so hosts can compare it.
+   * Position of the newest change up to {@link position}. Unlike that, it does not advance without a
+   * change, so hosts can compare it: whoever has the same has every change up to it.
    */
   lastChange: StorePosition = NO_POSITION;
   /** Newest confirmation that the view was up to date. */
@@ -127,7 +127,7 @@
     if (isRestore) {
       this.#history.beginEpoch(upTo);
     }
-    this.#advance(upTo, { epoch: epochOf(upTo), revision: lastChange });
+    this.#advance(upTo, [...delta.changes, { epoch: epochOf(upTo), revision: lastChange }]);
     this.#notifyListeners(previous, applied);
     return true;
   }
@@ -148,7 +148,7 @@
     const applied = isRestore
       ? this.#replaceAfterRestore(position, entries)
       : this.#replaceWithinEpoch(position, entries);
-    this.#advance(positionOf(position), { epoch: epochOf(position), revision: 0 });
+    this.#advance(positionOf(position), [...entries, ...applied]);
     this.#notifyListeners(previous, applied);
     return true;
   }
@@ -237,7 +237,7 @@
       .map(({ key }) => ({ key, epoch, revision }));
     const applied = this.#applyNewer(entries);
     for (const change of deleted) {
-      this.#put(change);
+      this.#entries.put(change);
     }
     this.#history.reset(positionOf(position));
     // Pages of a listing are read one after the other: later ones may hold changes after its position.
@@ -253,7 +253,7 @@
     for (const change of changes) {
       const isNewer = this.#entries.isNewer(change);
       if (isNewer) {
-        this.#put(change);
+        this.#entries.put(change);
         applied.push(change);
       }
       // Peers may not know what the store holds; changes of previous epochs reach them as retained.
@@ -267,14 +267,14 @@
     return applied;
   }
 
-  #put(change: FleetChange): void {
-    this.#entries.put(change);
-    this.lastChange = laterOf(this.lastChange, positionOf(change));
-  }
-
-  #advance(position: StorePosition, lastChange: StorePosition): void {
+  /** @param changes - known changes, some of which may be after the position */
+  #advance(position: StorePosition, changes: readonly StorePosition[]): void {
     this.position = laterOf(this.position, position);
-    this.lastChange = laterOf(this.lastChange, lastChange);
+    for (const change of changes) {
+      if (!isAfter(change, this.position)) {
+        this.lastChange = laterOf(this.lastChange, positionOf(change));
+      }
+    }
   }
 
   #deltaHead(after: StorePosition): Omit<FleetDelta, 'changes'> {
