fix(entry): do not restore a deleted record by a change from before the view's position

Cause: a view that learns of a deletion by a listing that lacks the key, which it never had, keeps nothing of it. An answer or a digest that was on its way meanwhile, and ends before the listing, then put the record back: a target that is gone, or an evacuation that was lifted, until its key changed again.

Change: a change at or before the position of its epoch brings nothing: the view has the latest of every key up to there.

--- a/packages/entry/src/fleet/fleet-view.ts
+++ b/packages/entry/src/fleet/fleet-view.ts
@@ -176,7 +176,7 @@
       this.#entries.beginEpoch(epochOf(upTo), new Set());
     }
     if (this.isEmpty || epochOf(upTo) === this.epoch) {
-      return this.#applyNewer([...changes, ...kept]);
+      return this.#applyNewer([...this.#unseen(changes), ...kept]);
     }
     if (epochOf(upTo) < this.epoch) {
       return this.#applyNewer(changes.filter((change) => this.#entries.hasNewerVersion(change)));
@@ -189,11 +189,16 @@
         if (epoch > this.epoch) {
           this.#beginEpoch(epoch, ofEpoch);
         }
-        return this.#applyNewer(ofEpoch);
+        return this.#applyNewer(this.#unseen(ofEpoch));
       });
     return [...applied, ...this.#applyNewer(kept)];
   }
 
+  /** Changes after the position; a key that is unknown by then was deleted after an earlier one. */
+  #unseen(changes: readonly FleetChange[]): FleetChange[] {
+    return changes.filter((change) => isAfter(change, this.position));
+  }
+
   #beginEpoch(epoch: number, changes: readonly FleetChange[]): void {
     this.#history.endEpoch(this.position);
     this.#entries.beginEpoch(epoch, new Set(changes.map(({ key }) => key)));
--- a/packages/entry/tests/fleet/fleet-view.test.ts
+++ b/packages/entry/tests/fleet/fleet-view.test.ts
@@ -38,6 +38,15 @@
     expect(targetIds(view)).toEqual([]);
   });
 
+  // Guards against requests to a target that is gone, by a record that was on its way meanwhile.
+  it('does not restore a record that a listing lacks, from a delta that ends before it', () => {
+    const view = new FleetView();
+    view.replace({ revision: 2 }, []);
+    view.replace({ revision: 5 }, []);
+    view.apply({ afterRevision: 2, revision: 3, changes: [targetChange(3)] });
+    expect(targetIds(view)).toEqual([]);
+  });
+
   it('deletes records that a listing lacks, except for newer ones', () => {
     const view = new FleetView();
     view.apply({
