fix(entry): take the position of a listing for its newest change

Cause: after a listing, lastChange was the newest record in it. The newest change may be a deletion, which a listing does not show: a listing of position 6 whose newest record is of 5 named 5, and so confirmed peers at 5 that still had what was deleted at 6. They kept it, told that they were up to date.

Change: lastChange after a listing is its position.

--- a/packages/entry/src/fleet/fleet-view.ts
+++ b/packages/entry/src/fleet/fleet-view.ts
@@ -135,9 +135,15 @@
   /**
    * Applies a full listing: keys that it lacks are deleted unless they are newer.
    *
+   * @param lastChange - newest change up to the position; a listing of the store does not show it, as
+   *   it may be a deletion
    * @returns false if the listing is outdated; only records with newer version numbers are applied
    */
-  replace(position: StorePosition, entries: readonly FleetChange[]): boolean {
+  replace(
+    position: StorePosition,
+    entries: readonly FleetChange[],
+    lastChange: StorePosition = position,
+  ): boolean {
     const previous = this.position;
     if (isAfter(previous, position)) {
       const newer = entries.filter((change) => this.#entries.hasNewerVersion(change));
@@ -148,7 +154,7 @@
     const applied = isRestore
       ? this.#replaceAfterRestore(position, entries)
       : this.#replaceWithinEpoch(position, entries);
-    this.#advance(positionOf(position), [...entries, ...applied]);
+    this.#advance(positionOf(position), [...entries, lastChange]);
     this.#notifyListeners(previous, applied);
     return true;
   }
--- a/packages/entry/src/peers/view-exchange.ts
+++ b/packages/entry/src/peers/view-exchange.ts
@@ -80,7 +80,7 @@
     const { view } = this.#options;
     const { isWhole, epoch, revision, changes, answeredAgeMilliseconds } = delta;
     if (isWhole) {
-      view.replace({ epoch, revision }, changes);
+      view.replace({ epoch, revision }, changes, { epoch, revision: delta.lastChange ?? revision });
     } else {
       view.apply(delta);
     }
