fix(entry): confirm a view only of changes that it has

Callers of a host that is behind and takes itself for up to date get what an older version says: it does not begin to watch the store for as long as such confirmations come.

Cause: FleetView.confirm compared the wrong way round. It took a confirmation of a change that the view lacks, and refused one of an older change that it has. The guard in PeerExchange compared the sender's newest change, but a relay passes on what another host was confirmed of before it has fetched the change itself; whoever got that was confirmed at a change that neither had.

Ruled out: refusing alone. Each confirmation is received once, and while changes follow each other quickly it is ahead of the receiver nearly always; without more, every host would watch the store during a storm.

Change: a confirmation counts if the view has the change that it names; one that is ahead waits (32 of them) until the view has it. A peer's answer names the peer's newest change instead of ours.

The test 'is confirmed only at its newest change' stated the reversed comparison; in its place one asks for more: not of a newer change, not of another epoch, of an older one for the time that it is of, never back.

--- a/packages/entry/src/fleet/fleet-view.ts
+++ b/packages/entry/src/fleet/fleet-view.ts
@@ -105,11 +105,14 @@
     this.#restoreListeners.push(listener);
   }
 
-  /** Records that this was the newest change of the store at a point in time. */
+  /**
+   * Records that this was the newest change of the store at a point in time. It counts only if this
+   * view has every change up to it.
+   */
   confirm(lastChange: StorePosition, confirmation: ViewConfirmation): void {
     const isCurrentEpoch = epochOf(lastChange) === epochOf(this.lastChange);
     const isNewer = confirmation.at > this.confirmedAt;
-    if (isNewer && isCurrentEpoch && !isAfter(this.lastChange, lastChange)) {
+    if (isNewer && isCurrentEpoch && !isAfter(lastChange, this.lastChange)) {
       this.confirmation = confirmation;
     }
   }
--- a/packages/entry/src/peers/peer-exchange.ts
+++ b/packages/entry/src/peers/peer-exchange.ts
@@ -91,6 +91,7 @@
       this.handleDatagram(text);
     });
     options.view.onChanges((changes) => {
+      this.#confirmations.apply(options.view);
       // New hosts can wait for the next regular round: hundreds may register at once.
       if (this.#isRelay && changes.some(({ record }) => record?.kind !== 'entryHost')) {
         this.triggerRound();
@@ -234,24 +235,22 @@
     return isNew;
   }
 
-  /** Fetches changes that this host lacks and applies the peer's newest store confirmation. */
+  /** Applies the peer's newest store confirmation and fetches changes that this host lacks. */
   #handleCommonFields(name: string, fields: CommonFields): void {
     const { view, viewExchange, suspects } = this.#options;
     const { lastChange: revision, epoch, storeAnswer, controlAddress } = fields;
     const lastChange = positionOf({ epoch, revision });
     suspects.merge(fields.suspects ?? []);
     this.#peerPositions.set(name, lastChange);
-    const confirmedAt =
-      storeAnswer === undefined ? undefined : this.#confirmations.record(storeAnswer);
+    if (storeAnswer !== undefined) {
+      this.#confirmations.record(storeAnswer);
+    }
+    this.#confirmations.apply(view);
     if (isAfter(lastChange, view.lastChange)) {
       viewExchange.fetchIfIdle(controlAddress);
       return;
     }
     this.#fetchRetained(name, fields);
-    if (storeAnswer !== undefined && confirmedAt !== undefined) {
-      const position = { epoch: storeAnswer.epoch, revision: storeAnswer.lastChange };
-      view.confirm(position, { at: confirmedAt, source: storeAnswer.name });
-    }
   }
 
   /** Fetches what a peer retains beyond a restored store, if it differs from this host's. */
--- a/packages/entry/src/peers/store-confirmations.ts
+++ b/packages/entry/src/peers/store-confirmations.ts
@@ -1,5 +1,7 @@
 import type { Clock } from '@ferrylock/utils';
 import { z } from 'zod';
+import type { FleetView } from '../fleet/fleet-view.js';
+import { isAfter } from '../fleet/store-position.js';
 
 /** Confirmation by the store to a host that it held nothing newer than a revision. */
 export const storeConfirmationSchema = z.object({
@@ -17,6 +19,9 @@
 
 export type StoreConfirmation = z.infer<typeof storeConfirmationSchema>;
 
+/** Confirmations kept for a host that does not have the change they confirm yet. */
+const MAX_PENDING = 32;
+
 /** A confirmation with its time by this host's clock. */
 interface StoredConfirmation extends Omit<StoreConfirmation, 'ageMilliseconds'> {
   readonly confirmedAt: number;
@@ -32,6 +37,8 @@
   /** Newest sequence number recorded, by host name. */
   readonly #recorded = new Map<string, { incarnation: string; sequence: number }>();
   #newest: StoredConfirmation | undefined;
+  /** Confirmations that no view was confirmed by yet, in the order in which they arrived. */
+  readonly #pending: StoredConfirmation[] = [];
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -55,9 +62,28 @@
     }
     this.#recorded.set(name, { incarnation, sequence });
     const confirmedAt = this.#clock.now() - ageMilliseconds;
+    const stored = { name, incarnation, sequence, lastChange, epoch, confirmedAt };
     if (confirmedAt > (this.#newest?.confirmedAt ?? -Infinity)) {
-      this.#newest = { name, incarnation, sequence, lastChange, epoch, confirmedAt };
+      this.#newest = stored;
+    }
+    this.#pending.push(stored);
+    if (this.#pending.length > MAX_PENDING) {
+      this.#pending.shift();
     }
     return confirmedAt;
   }
+
+  /**
+   * Confirms a view by all confirmations of changes that it has. Those of newer ones stay for when it
+   * has these, since each confirmation is received only once.
+   */
+  apply(view: FleetView): void {
+    const isAhead = ({ epoch, lastChange: revision }: StoredConfirmation): boolean =>
+      isAfter({ epoch, revision }, view.lastChange);
+    const ahead = this.#pending.filter(isAhead);
+    for (const { name, epoch, lastChange: revision, confirmedAt } of this.#pending) {
+      view.confirm({ epoch, revision }, { at: confirmedAt, source: name });
+    }
+    this.#pending.splice(0, Infinity, ...ahead);
+  }
 }
--- a/packages/entry/src/peers/view-exchange.ts
+++ b/packages/entry/src/peers/view-exchange.ts
@@ -86,7 +86,8 @@
     }
     if (answeredAgeMilliseconds !== undefined && epochOf(delta) === view.epoch) {
       const at = requestedAt - answeredAgeMilliseconds;
-      view.confirm(view.lastChange, { at, source: address });
+      const confirmed = { epoch, revision: delta.lastChange ?? revision };
+      view.confirm(confirmed, { at, source: address });
     }
     this.logChanges(address, delta);
   }
--- a/packages/entry/tests/fleet/fleet-view.test.ts
+++ b/packages/entry/tests/fleet/fleet-view.test.ts
@@ -103,12 +103,14 @@
     expect(view.deltaSince({ revision: 1 })).toBeUndefined();
   });
 
-  it('is confirmed only at its newest change', () => {
+  it('is confirmed only of changes that it has, and never goes back', () => {
     const view = new FleetView();
     view.replace({ revision: 5 }, [hostChange(5)]);
-    view.confirm({ revision: 4 }, { at: 100, source: 'store' });
+    view.confirm({ revision: 6 }, { at: 100, source: 'store' });
+    view.confirm({ epoch: 1, revision: 5 }, { at: 100, source: 'store' });
     expect(view.confirmedAt).toBe(-Infinity);
-    view.confirm({ revision: 5 }, { at: 100, source: 'store' });
+    view.confirm({ revision: 4 }, { at: 100, source: 'store' });
+    expect(view.confirmedAt).toBe(100);
     view.confirm({ revision: 5 }, { at: 50, source: 'store' });
     expect(view.confirmedAt).toBe(100);
   });
@@ -121,6 +123,16 @@
     expect(view.confirmedAt).toBe(-Infinity);
   });
 
+  // Guards against a host that keeps a target which is gone, and is told that it is up to date.
+  it('is not confirmed by a listing that lacks a record which it still has', () => {
+    const view = new FleetView();
+    view.replace({ revision: 5 }, [targetChange(5)]);
+    const lister = new FleetView();
+    lister.replace({ revision: 6 }, []);
+    view.confirm(lister.lastChange, { at: 100, source: 'host-2' });
+    expect(view.confirmedAt).toBe(-Infinity);
+  });
+
   // Guards against hosts that stay without a change which its peers hold.
   it('passes on a change that fell between two pages of a listing', () => {
     const view = new FleetView();
--- a/packages/entry/tests/peers/peer-exchange.test.ts
+++ b/packages/entry/tests/peers/peer-exchange.test.ts
@@ -158,6 +158,31 @@
     expect(view.confirmedAt).toBe(-Infinity);
   });
 
+  // Guards against a host that a relay confirms before either of them has the change.
+  it('is not confirmed by a relay that lacks the confirmed change too', async () => {
+    const { view, exchange } = await makeExchange();
+    const storeAnswer = {
+      name: 'watcher',
+      incarnation: 'first',
+      sequence: 1,
+      lastChange: 6,
+      ageMilliseconds: 200,
+    };
+    exchange.handleDatagram(digestText({ lastChange: 5, storeAnswer }));
+    expect(view.confirmedAt).toBe(-Infinity);
+  });
+
+  // Guards against hosts that all watch the store while changes follow each other quickly.
+  it('is confirmed by an earlier confirmation once it has the confirmed change', async () => {
+    const { view, exchange } = await makeExchange();
+    exchange.handleDatagram(reportText(200, 6));
+    exchange.handleDatagram(reportText(100, 7, { sequence: 2 }));
+    view.apply({ afterRevision: 5, revision: 6, changes: [targetChange(6)] });
+    expect(view.confirmedAt).toBe(800);
+    view.apply({ afterRevision: 6, revision: 7, changes: [targetChange(7)] });
+    expect(view.confirmation).toEqual({ at: 900, source: 'watcher' });
+  });
+
   it('applies the changes in a digest', async () => {
     const { view, exchange, events } = await makeExchange();
     const news = { afterRevision: 5, revision: 6, changes: [targetChange(6, { id: 'new' })] };
