fix(entry): send changes to peers once and only small ones, so that links are not filled

Callers of hosts on narrow links got 404 by a version that was 3 s and more out of force; those hosts were taken for dead though nothing was cut, and could not reach the store either.

Cause: a relay repeated the changes that any recipient had not reported to have in each round to each relay and member, and a round is sent at once for each change. One configuration of 10 KB to a dozen recipients, five to ten times a second, fills 10 Mbit/s: relays sent 795 to 1,813 KB a second in a storm, other hosts 4 to 19. Behind it waited reports, digests, calls and answers of the store. A recipient that is silent held the lowest position back for all.

Class: a message whose size follows from what others have not said. Its count was bounded, its bytes and repetitions were not.

Change: what was sent counts as had (PeerPositions), also if it is lost: the peer sees a newer lastChange and fetches. Changes of more than 4 KB in all are not in a digest; each host that lacks them fetches them once, the latest version alone.

Ruled out: a larger bound, 48 KB say: each relay gets each version from every other relay, up to 34 times in a fleet of 18 relays.

--- a/packages/entry/src/peers/message-writer.ts
+++ b/packages/entry/src/peers/message-writer.ts
@@ -9,6 +9,7 @@
 import { isAfter } from '../fleet/store-position.js';
 import type { TargetLimitController } from '../limits/target-limit-controller.js';
 import type { SuspectController } from '../suspects/suspect-controller.js';
+import { ChangeSizes } from './change-sizes.js';
 import { encodeAccountUsage } from './account-rows.js';
 import type { HostStatus, RequestRates } from './host-status.js';
 import { encodeStatuses } from './host-status.js';
@@ -26,8 +27,11 @@
 import type { RegionSummary } from './fleet-summary.js';
 import { encodeRegionSummaries, encodeIncarnationKeys, incarnationKey } from './fleet-summary.js';
 
-/** Maximum number of changes in a digest, to bound the size of datagrams. */
-const MAX_DIGEST_CHANGES = 12;
+/**
+ * Bound on the changes in a digest, which goes to many hosts. Larger ones are fetched by the hosts
+ * that lack them, once each.
+ */
+const MAX_NEWS_BYTES = 4_096;
 
 export interface MessageWriterOptions {
   readonly clock: Clock;
@@ -51,6 +55,7 @@
 /** Builds this host's messages to peers: its reports and, on a relay, digests. */
 export class MessageWriter {
   readonly #options: MessageWriterOptions;
+  readonly #changeSizes = new ChangeSizes();
   #sequence = 0;
   #inFlight: InFlightCounts = {};
   #usage: UsageByName = { used: {}, demand: {} };
@@ -227,8 +232,9 @@
   #changesAfter(position: StorePosition): FleetDelta | undefined {
     const { view } = this.#options;
     const delta = isAfter(view.lastChange, position) ? view.deltaSince(position) : undefined;
-    const count = (delta?.changes.length ?? 0) + (delta?.kept?.length ?? 0);
-    return count <= MAX_DIGEST_CHANGES ? delta : undefined;
+    const changes = [...(delta?.changes ?? []), ...(delta?.kept ?? [])];
+    const bytes = changes.reduce((sum, change) => sum + this.#changeSizes.bytesOf(change), 0);
+    return bytes <= MAX_NEWS_BYTES ? delta : undefined;
   }
 
   /** Records a new response of the store to this host under the sequence number of this round. */
--- a/packages/entry/src/peers/peer-exchange.ts
+++ b/packages/entry/src/peers/peer-exchange.ts
@@ -21,6 +21,7 @@
   REPORT_METHOD,
 } from './peer-messages.js';
 import type { StatusSource } from './peer-table.js';
+import { PeerPositions } from './peer-positions.js';
 import { RelayPlan } from './relay-plan.js';
 import { StoreConfirmations } from './store-confirmations.js';
 import type { ViewExchange } from './view-exchange.js';
@@ -38,9 +39,6 @@
 /** Minimum interval between rounds, including triggered ones. */
 const MIN_ROUND_INTERVAL_MILLISECONDS = 40;
 
-/** Position of a host that has not reported any; no changes are sent on its account. */
-const UNKNOWN_POSITION: StorePosition = { epoch: Infinity, revision: Infinity };
-
 const messageSchema = z.discriminatedUnion('method', [
   z.object({ method: z.literal(REPORT_METHOD), params: hostReportSchema }),
   z.object({ method: z.literal(DOMAIN_DIGEST_METHOD), params: domainDigestSchema }),
@@ -71,8 +69,7 @@
   readonly #transport: DatagramTransport;
   readonly #tasks: BackgroundTasks;
   readonly #confirmations: StoreConfirmations;
-  /** Newest store position that each host reported, by host name. */
-  readonly #peerPositions = new Map<string, StorePosition>();
+  readonly #positions = new PeerPositions();
   /** Digest of the retained changes last fetched from each host, by host name. */
   readonly #fetchedRetained = new Map<string, string>();
   #running: Running | undefined;
@@ -241,7 +238,7 @@
     const { lastChange: revision, epoch, storeAnswer, controlAddress } = fields;
     const lastChange = positionOf({ epoch, revision });
     suspects.merge(fields.suspects ?? []);
-    this.#peerPositions.set(name, lastChange);
+    this.#positions.recordReported(name, lastChange);
     if (storeAnswer !== undefined) {
       this.#confirmations.record(storeAnswer);
     }
@@ -298,7 +295,9 @@
     if (hosts.length === 0) {
       return;
     }
-    const datagram = Buffer.from(write(this.#lowestPosition(hosts)));
+    const names = hosts.map(({ name }) => name);
+    const datagram = Buffer.from(write(this.#positions.lowest(names)));
+    this.#positions.recordSent(names, this.#options.view.lastChange);
     for (const { reportAddress } of hosts) {
       this.counts.recordSend(datagram.length);
       this.#transport.send(reportAddress, datagram, (reason) => {
@@ -306,11 +305,4 @@
       });
     }
   }
-
-  /** Returns the newest position that all of these hosts have reported. */
-  #lowestPosition(hosts: readonly EntryHostRecord[]): StorePosition {
-    return hosts
-      .map(({ name }) => this.#peerPositions.get(name) ?? UNKNOWN_POSITION)
-      .reduce((lowest, next) => (isAfter(lowest, next) ? next : lowest), UNKNOWN_POSITION);
-  }
 }
