--- a/packages/entry/tests/peers/message-writer.test.ts
+++ b/packages/entry/tests/peers/message-writer.test.ts
@@ -83,7 +83,8 @@
     const routes = Array.from({ length: 30 }, (_, index) => makeRoute({ name: `route-${index}` }));
     const changes = [configurationChange(2, { version: 2, routes })];
     view.apply({ afterRevision: 1, revision: 2, changes });
-    expect(digest(1)).toMatchObject({ lastChange: 2, news: undefined });
+    expect(digest(1).lastChange).toBe(2);
+    expect(digest(1).news).toBeUndefined();
   });
 
   it('sums the busy cores and the demand of a region', () => {
