fix(entry): ask another peer while one does not answer

Cause: one call for changes at a time. Where the way to the peer that was asked first is broken, the call held the only slot for its 600 ms, and the messages of peers that could have answered were passed over; with two such peers a change came 1.2 s late by this alone.

Change: up to three peers at a time, each once, a call each 150 ms as before.

Evidence: 'asks another peer while the first one does not answer' failed before.

--- a/packages/entry/src/peers/view-exchange.ts
+++ b/packages/entry/src/peers/view-exchange.ts
@@ -9,6 +9,8 @@
 
 /** Minimum interval between calls to peers; batches rapid changes, as when all hosts start. */
 const MIN_FETCH_INTERVAL_MILLISECONDS = 150;
+/** Peers that are asked at a time; the paths to some may be broken. */
+const MAX_PENDING_FETCHES = 3;
 /** Interval between log lines about failed calls. */
 const LOG_INTERVAL_MILLISECONDS = 1_000;
 
@@ -28,7 +30,8 @@
   failedCalls = 0;
   readonly #options: ViewExchangeOptions;
   readonly #throttle: Throttle;
-  #isFetching = false;
+  /** Addresses of peers that have not answered yet. */
+  readonly #pendingFetches = new Set<string>();
   #fetchedAt = -Infinity;
 
   constructor(options: ViewExchangeOptions) {
@@ -92,16 +95,21 @@
     this.logChanges(address, delta);
   }
 
-  /** Starts a fetch unless one is in progress or recent; returns whether it did. */
+  /**
+   * Starts a fetch unless one is recent, this peer is being asked already, or several are; returns
+   * whether it did.
+   */
   fetchIfIdle(address: string): boolean {
     const now = this.#options.clock.now();
-    if (this.#isFetching || now - this.#fetchedAt < MIN_FETCH_INTERVAL_MILLISECONDS) {
+    const isRecent = now - this.#fetchedAt < MIN_FETCH_INTERVAL_MILLISECONDS;
+    const pending = this.#pendingFetches;
+    if (isRecent || pending.has(address) || pending.size >= MAX_PENDING_FETCHES) {
       return false;
     }
     this.#fetchedAt = now;
-    this.#isFetching = true;
+    pending.add(address);
     void this.fetchFrom(address).finally(() => {
-      this.#isFetching = false;
+      pending.delete(address);
     });
     return true;
   }
