fix(entry, platform): let a transfer take as long as it makes progress; compress answers between hosts

Cause: a call between hosts had 600 ms in all, one to the store 900. 870 KB over 7 Mbit/s take a second: hosts on narrow links never got such a configuration, at 12 hosts six of twelve, at 75 hosts 69, and each further try filled their links again. A listing of the store of more than 0.8 MB could not be had either.

Change: the times bound the wait for an answer and for each next piece of it (ProgressTimeout); 3 s bound the whole. A silent connection is noticed as early as before. Answers between hosts from 2 KB on are compressed for callers that accept it; earlier versions do not ask for it and get what they did.

Evidence: 'wait for an answer that comes slowly' and 'compress a large answer' failed before.

--- a/packages/entry/src/peers/peer-client.ts
+++ b/packages/entry/src/peers/peer-client.ts
@@ -1,4 +1,6 @@
-import { describeParseError } from '@ferrylock/utils';
+import { promisify } from 'node:util';
+import { gunzip } from 'node:zlib';
+import { describeParseError, ProgressTimeout } from '@ferrylock/utils';
 import { createJSONRPCRequest } from 'json-rpc-2.0';
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
@@ -12,10 +14,16 @@
 
 /** HTTP path of RPC calls between entry hosts. */
 export const PEER_PATH = '/peer';
-/** Connect and request timeout; several round trips between regions. */
+/** Time to connect, and time without progress of a call; several round trips between regions. */
 const TIMEOUT_MILLISECONDS = 600;
+/** Time for a whole call; a megabyte on the narrowest links takes less. */
+const MAX_CALL_MILLISECONDS = 3_000;
+/** Bound on an uncompressed answer. */
+const MAX_ANSWER_BYTES = 64 * 1024 * 1024;
 const IDLE_MILLISECONDS = 5_000;
 
+const decompress = promisify(gunzip);
+
 const responseSchema = z.object({
   id: z.union([z.number(), z.string(), z.null()]),
   result: z.unknown().optional(),
@@ -45,22 +53,34 @@
 
   async #call(address: string, method: string, params: unknown): Promise<Result<unknown, string>> {
     const id = this.#nextId++;
+    const timeout = new ProgressTimeout({
+      firstMilliseconds: TIMEOUT_MILLISECONDS,
+      nextMilliseconds: TIMEOUT_MILLISECONDS,
+      maxMilliseconds: MAX_CALL_MILLISECONDS,
+    });
     try {
       const response = await this.#agent.request({
         origin: `http://${address}`,
         method: 'POST',
         path: PEER_PATH,
-        headers: { 'content-type': 'application/json' },
+        headers: { 'content-type': 'application/json', 'accept-encoding': 'gzip' },
         body: JSON.stringify(createJSONRPCRequest(id, method, params)),
-        signal: AbortSignal.timeout(TIMEOUT_MILLISECONDS),
+        signal: timeout.signal,
       });
-      const parsed = responseSchema.parse(JSON.parse(await response.body.text()));
+      const body = await timeout.read(response.body);
+      const isCompressed = response.headers['content-encoding'] === 'gzip';
+      const bytes = isCompressed
+        ? await decompress(body, { maxOutputLength: MAX_ANSWER_BYTES })
+        : body;
+      const parsed = responseSchema.parse(JSON.parse(bytes.toString()));
       if (parsed.id !== id) {
         return Err('response id does not match the request id');
       }
       return parsed.error === undefined ? Ok(parsed.result) : Err(parsed.error.message);
     } catch (error) {
       return Err(describeParseError(error));
+    } finally {
+      timeout.cancel();
     }
   }
 }
--- a/packages/entry/src/servers/control-server.ts
+++ b/packages/entry/src/servers/control-server.ts
@@ -1,3 +1,5 @@
+import { promisify } from 'node:util';
+import { constants, gzip } from 'node:zlib';
 import Fastify from 'fastify';
 import type { FastifyInstance } from 'fastify';
 import { JSONRPCErrorException, JSONRPCServer } from 'json-rpc-2.0';
@@ -7,6 +9,13 @@
 import type { ViewExchange } from '../peers/view-exchange.js';
 import { SCHEMALESS_SERVER_OPTIONS } from './schemaless-server-options.js';
 
+/** Length in characters from which an answer is compressed. */
+const MIN_COMPRESSED_LENGTH = 2_048;
+/** The fastest level; routes of a configuration resemble each other. */
+const COMPRESSION = { level: constants.Z_BEST_SPEED };
+
+const compress = promisify(gzip);
+
 /** JSON-RPC 2.0 error code for invalid parameters. */
 const INVALID_PARAMS = -32_602;
 
@@ -37,7 +46,12 @@
     });
     this.#app.post(PEER_PATH, async (request, reply) => {
       const response = await this.#peerServer.receiveJSON(request.body as string);
-      return reply.header('content-type', 'application/json').send(JSON.stringify(response));
+      const text = JSON.stringify(response);
+      const accepted = request.headers['accept-encoding'] ?? '';
+      reply.header('content-type', 'application/json');
+      return text.length < MIN_COMPRESSED_LENGTH || !accepted.includes('gzip')
+        ? reply.send(text)
+        : reply.header('content-encoding', 'gzip').send(await compress(text, COMPRESSION));
     });
     this.#app.get('/metrics', (_request, reply) =>
       reply.header('content-type', 'text/plain; version=0.0.4').send(metricsText()),
--- a/packages/test-utils/src/emulated-link.ts
+++ b/packages/test-utils/src/emulated-link.ts
@@ -15,8 +15,12 @@
   /** Takes bytes and returns the milliseconds until the last of them has passed. */
   pass(bytes: number): number {
     const now = this.clock.now();
-    const milliseconds = (bytes / this.bytesPerSecond) * MILLISECONDS_PER_SECOND;
-    this.#freeAt = Math.max(now, this.#freeAt) + milliseconds;
+    this.#freeAt = Math.max(now, this.#freeAt) + this.millisecondsOf(bytes);
     return this.#freeAt - now;
   }
+
+  /** Time that bytes take on a link that carries nothing else. */
+  millisecondsOf(bytes: number): number {
+    return (bytes / this.bytesPerSecond) * MILLISECONDS_PER_SECOND;
+  }
 }
--- a/packages/test-utils/src/emulated-network.ts
+++ b/packages/test-utils/src/emulated-network.ts
@@ -1,3 +1,4 @@
+import { constants, gzipSync } from 'node:zlib';
 import { deltaResultSchema } from '@ferrylock/entry';
 import type { DatagramTransport, EntryHostRecord, FleetMember, PeerCalls } from '@ferrylock/entry';
 import type { Clock, Random } from '@ferrylock/utils';
@@ -11,6 +12,8 @@
 const CALL_HEADER_BYTES = 330;
 /** Largest payload of a UDP datagram over IPv4. */
 export const MAX_DATAGRAM_BYTES = 65_507;
+/** Length in characters from which an answer is compressed. */
+const MIN_COMPRESSED_LENGTH = 2_048;
 /** Time without progress after which a call counts as failed. */
 const CALL_TIMEOUT_MILLISECONDS = 600;
 
@@ -125,10 +128,10 @@
         const text = JSON.stringify(
           peer.viewExchange.deltaFor({ afterEpoch: after.epoch, afterRevision: after.revision }),
         );
-        const bytes = Buffer.byteLength(text) + CALL_HEADER_BYTES;
+        const bytes = encodedBytes(text) + CALL_HEADER_BYTES;
         counts.callBytes += bytes;
-        const milliseconds = this.#passMilliseconds(host, own, bytes);
-        if (!this.#passes(host, own) || milliseconds > CALL_TIMEOUT_MILLISECONDS) {
+        const { milliseconds, waitMilliseconds } = this.#passAnswer(host, own, bytes);
+        if (!this.#passes(host, own) || waitMilliseconds > CALL_TIMEOUT_MILLISECONDS) {
           await clock.sleep(CALL_TIMEOUT_MILLISECONDS);
           return Err('no answer in time');
         }
@@ -173,10 +176,15 @@
     });
   }
 
-  #passMilliseconds(from: EntryHostRecord, to: EntryHostRecord, bytes: number): number {
-    const outMilliseconds = this.#link(from).out.pass(bytes);
-    const inMilliseconds = this.#link(to).in.pass(bytes);
-    return WAY_MILLISECONDS + Math.max(outMilliseconds, inMilliseconds);
+  /** Time until an answer is there, and how much of it passes before its first byte. */
+  #passAnswer(from: EntryHostRecord, to: EntryHostRecord, bytes: number) {
+    const links = [this.#link(from).out, this.#link(to).in];
+    const ends = links.map((link) => link.pass(bytes));
+    const waits = links.map((link, index) => (ends[index] ?? 0) - link.millisecondsOf(bytes));
+    return {
+      milliseconds: WAY_MILLISECONDS + Math.max(...ends),
+      waitMilliseconds: Math.max(...waits),
+    };
   }
 
   #passes(from: EntryHostRecord, to: EntryHostRecord): boolean {
@@ -200,6 +208,13 @@
   }
 }
 
+/** Answers are compressed unless they are short. */
+function encodedBytes(text: string): number {
+  return text.length < MIN_COMPRESSED_LENGTH
+    ? Buffer.byteLength(text)
+    : gzipSync(text, { level: constants.Z_BEST_SPEED }).length;
+}
+
 function setMember(names: Set<string>, name: string, isMember: boolean): void {
   if (isMember) {
     names.add(name);
--- a/packages/test-utils/src/way-to-store.ts
+++ b/packages/test-utils/src/way-to-store.ts
@@ -11,6 +11,8 @@
 
 /** Time after which a call without an answer counts as lost. */
 const TIMEOUT_MILLISECONDS = 900;
+/** Time after which an answer that comes in slowly counts as lost. */
+const MAX_ANSWER_MILLISECONDS = 3_000;
 
 /** One host's way to a store that all share, which can be cut for that host alone. */
 export class WayToStore implements FleetStore {
@@ -45,7 +47,7 @@
     return this.#call(async () => {
       const answer = await call();
       const milliseconds = answer.isOk() ? this.receive(encodedBytes(answer.value)) : 0;
-      if (milliseconds > TIMEOUT_MILLISECONDS) {
+      if (milliseconds > MAX_ANSWER_MILLISECONDS) {
         return Err({ kind: 'unknown', message: 'no answer' });
       }
       if (milliseconds > 0) {
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -11,4 +11,6 @@
 export { describeParseError } from './describe-parse-error.js';
 export { jittered, pickOne, randomIndex, SeededRandom, shuffled, systemRandom } from './random.js';
 export type { Random } from './random.js';
+export { ProgressTimeout } from './progress-timeout.js';
+export type { ProgressTimeoutOptions } from './progress-timeout.js';
 export { Throttle } from './throttle.js';
