fix(entry): bound each section of a message in bytes

Cause: statuses, absent hosts, regions, sequences, loads, accounts and limits share a datagram with the liveness of hosts, and none had a bound, so that each alone can make it larger than UDP carries; then nothing of it is sent. (Suspects had one, in number.)

Change: each section has a bound in bytes, together below 65,507. What does not fit is left out: least busy targets, accounts and limits with the fewest requests, absent hosts of other regions, the lowest rates; statuses and sequences take turns, so that no host seems dead. The message says how many rows of which section (omitted); so do rows-omitted and ferrylock_omitted_rows_total. A status has 16 rates at most. Receivers read what is left out as before: as nothing known.

--- a/packages/entry/src/events.ts
+++ b/packages/entry/src/events.ts
@@ -110,6 +110,12 @@
     /** Failed sends since the start. */
     failed: z.number(),
   }),
+  /** Rows did not fit into a message to peers; the first message of each second is logged. */
+  z.object({
+    event: z.literal('rows-omitted'),
+    /** Number of rows by section of the message. */
+    sections: z.record(z.string(), z.number()),
+  }),
   /** A peer did not return the changes that this host lacks; the first in each second is logged. */
   z.object({
     event: z.literal('fetch-failed'),
--- a/packages/entry/src/metrics-text.ts
+++ b/packages/entry/src/metrics-text.ts
@@ -27,7 +27,10 @@
   /** Progress that the store reported. */
   readonly store: Pick<StoreProgress, 'epoch' | 'revision' | 'refusedListings'>;
   /** Datagrams that this host sent to peers. */
-  readonly datagrams: Pick<DatagramCounts, 'sent' | 'sentBytes' | 'failed' | 'largestBytes'>;
+  readonly datagrams: Pick<
+    DatagramCounts,
+    'sent' | 'sentBytes' | 'failed' | 'largestBytes' | 'omittedRows'
+  >;
   /** Calls to peers for changes of the store. */
   readonly peerCalls: { readonly total: number; readonly failed: number };
   readonly changeDelays: ChangeDelays;
@@ -74,6 +77,7 @@
     ...counter('datagram_bytes_sent_total', host.datagrams.sentBytes),
     ...counter('datagrams_failed_total', host.datagrams.failed),
     ...gauge('largest_datagram_bytes', host.datagrams.largestBytes),
+    ...counter('omitted_rows_total', host.datagrams.omittedRows),
     ...counter('peer_calls_total', host.peerCalls.total),
     ...counter('peer_calls_failed_total', host.peerCalls.failed),
     ...gauge('peers_heard', host.peersHeard),
--- a/packages/entry/src/peers/datagram-counts.ts
+++ b/packages/entry/src/peers/datagram-counts.ts
@@ -1,6 +1,7 @@
 import { Throttle } from '@ferrylock/utils';
 import type { Clock } from '@ferrylock/utils';
 import type { EventLog } from '../events.js';
+import type { OmittedRows } from './message-sections.js';
 
 /** Interval between log lines about failed sends. */
 const LOG_INTERVAL_MILLISECONDS = 1_000;
@@ -13,13 +14,17 @@
   failed = 0;
   /** Size of the largest datagram, whether or not it could be sent. */
   largestBytes = 0;
-  readonly #throttle: Throttle;
+  /** Rows that did not fit into messages. */
+  omittedRows = 0;
+  readonly #failureThrottle: Throttle;
+  readonly #omissionThrottle: Throttle;
 
   constructor(
     clock: Clock,
     readonly events: EventLog,
   ) {
-    this.#throttle = new Throttle(clock, LOG_INTERVAL_MILLISECONDS);
+    this.#failureThrottle = new Throttle(clock, LOG_INTERVAL_MILLISECONDS);
+    this.#omissionThrottle = new Throttle(clock, LOG_INTERVAL_MILLISECONDS);
   }
 
   recordSend(bytes: number): void {
@@ -28,9 +33,16 @@
     this.largestBytes = Math.max(this.largestBytes, bytes);
   }
 
+  recordOmittedRows(omitted: OmittedRows): void {
+    this.omittedRows += Object.values(omitted).reduce((sum, rows) => sum + rows, 0);
+    if (this.#omissionThrottle.tryAdmit()) {
+      this.events.write({ event: 'rows-omitted', sections: { ...omitted } });
+    }
+  }
+
   recordFailure(address: string, bytes: number, detail: string): void {
     this.failed++;
-    if (this.#throttle.tryAdmit()) {
+    if (this.#failureThrottle.tryAdmit()) {
       this.events.write({ event: 'send-failed', address, bytes, detail, failed: this.failed });
     }
   }
--- a/packages/entry/src/peers/fleet-summary.ts
+++ b/packages/entry/src/peers/fleet-summary.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod';
 import type { EntryHostRecord } from '../fleet/fleet-record.js';
 import type { RequestRates } from './host-status.js';
-import { rateFields, parseRates } from './host-status.js';
+import { mainRates, rateFields, parseRates } from './host-status.js';
 import { decodeRows, encodeRows } from './rows.js';
 
 /** Decimal digits of a number of cores. */
@@ -62,6 +62,21 @@
   );
 }
 
+/** Rates of each region that are kept where not all of them fit. */
+const MAIN_RATES = 4;
+
+/** Regions with their highest rates alone. */
+export function withMainRates(
+  regions: ReadonlyMap<string, RegionSummary>,
+): Map<string, RegionSummary> {
+  return new Map(
+    [...regions].map(([region, { busyCores, asked }]) => [
+      region,
+      { busyCores, asked: mainRates(asked, MAIN_RATES) },
+    ]),
+  );
+}
+
 /** Incarnation keys of hosts as rows. */
 export const incarnationKeysSchema = z
   .string()
--- a/packages/entry/src/peers/host-status.ts
+++ b/packages/entry/src/peers/host-status.ts
@@ -4,6 +4,8 @@
 const PERCENT = 100;
 /** Decimal digits of a rate; in a large fleet, a host may see less than one request per second. */
 const RATE_DIGITS = 2;
+/** Rates in a status; the others are too low to affect where keys are placed. */
+const MAX_STATUS_RATES = 16;
 const LEAVING = '1';
 const STAYING = '0';
 
@@ -45,7 +47,7 @@
       sequence,
       leaving ? LEAVING : STAYING,
       Math.round(utilization * PERCENT),
-      ...rateFields(asked),
+      ...rateFields(mainRates(asked, MAX_STATUS_RATES)),
     ]),
   );
 }
@@ -67,6 +69,14 @@
   return Object.entries(rates).flatMap(([service, rate]) => [service, rate.toFixed(RATE_DIGITS)]);
 }
 
+/** The highest rates, at most so many. */
+export function mainRates(rates: RequestRates, count: number): RequestRates {
+  const entries = Object.entries(rates);
+  return entries.length <= count
+    ? rates
+    : Object.fromEntries(entries.sort(([, a], [, b]) => b - a).slice(0, count));
+}
+
 /** Parses services, each followed by its rate. */
 export function parseRates(fields: readonly string[]): RequestRates {
   const rates: Record<string, number> = {};
--- a/packages/entry/src/peers/message-writer.ts
+++ b/packages/entry/src/peers/message-writer.ts
@@ -18,6 +18,14 @@
 import { encodeLimits } from './limit-rows.js';
 import type { ReportedLimits } from './limit-rows.js';
 import { loadSource } from './load-source.js';
+import {
+  busiestFirst,
+  inTurn,
+  MessageSections,
+  mostUsedFirst,
+  mostUsedLimitsFirst,
+} from './message-sections.js';
+import type { OmittedRows } from './message-sections.js';
 import type { PeerLoads } from './peer-loads.js';
 import { DOMAIN_DIGEST_METHOD, FLEET_DIGEST_METHOD, REPORT_METHOD } from './peer-messages.js';
 import type { PeerTable } from './peer-table.js';
@@ -25,7 +33,12 @@
 import type { StoreConfirmations } from './store-confirmations.js';
 import { encodeSuspects } from './suspect-rows.js';
 import type { RegionSummary } from './fleet-summary.js';
-import { encodeRegionSummaries, encodeIncarnationKeys, incarnationKey } from './fleet-summary.js';
+import {
+  encodeRegionSummaries,
+  encodeIncarnationKeys,
+  incarnationKey,
+  withMainRates,
+} from './fleet-summary.js';
 
 /**
  * Bound on the changes in a digest, which goes to many hosts. Larger ones are fetched by the hosts
@@ -50,6 +63,8 @@
   readonly asked: () => RequestRates;
   /** Time of the store's last response to this host itself, in monotonic milliseconds. */
   readonly storeAnsweredAt: () => number;
+  /** Called for each message from which rows were left out. */
+  readonly onOmittedRows: (omitted: OmittedRows) => void;
 }
 
 /** Builds this host's messages to peers: its reports and, on a relay, digests. */
@@ -80,13 +95,14 @@
   }
 
   report(): string {
+    const sections = new MessageSections();
     const params = {
       statuses: encodeStatuses([this.#ownStatus()]),
-      ...this.#commonFields(this.#inFlight, this.#usage),
-      ...this.#limits(this.#options.limits.buildReport()),
-      ...this.#suspects('own'),
+      ...this.#commonFields(sections, this.#inFlight, this.#usage),
+      ...this.#limits(sections, this.#options.limits.buildReport()),
+      ...this.#suspects(sections, 'own'),
     };
-    return JSON.stringify(createJSONRPCNotification(REPORT_METHOD, params));
+    return this.#encode(REPORT_METHOD, params, sections);
   }
 
   /**
@@ -98,13 +114,18 @@
     const { loads, accounts, own } = this.#options;
     const inFlight = loads.sum(loadSource.isHost, this.#inFlight);
     const usage = accounts.usage.sum(loadSource.isHost, this.#usage);
-    return this.#digest(DOMAIN_DIGEST_METHOD, lowestPosition, {
+    const sections = new MessageSections();
+    const statuses = this.#ownDomainStatuses();
+    const content = {
       failureDomain: own.failureDomain,
-      statuses: encodeStatuses(this.#ownDomainStatuses()),
-      ...this.#commonFields(inFlight, usage),
-      ...this.#limits(this.#options.limits.buildReport(loadSource.isHost)),
-      ...this.#suspects('all'),
-    });
+      statuses: sections.fit('statuses', encodeStatuses(statuses), () =>
+        encodeStatuses(inTurn(statuses, this.#sequence)),
+      ),
+      ...this.#commonFields(sections, inFlight, usage),
+      ...this.#limits(sections, this.#options.limits.buildReport(loadSource.isHost)),
+      ...this.#suspects(sections, 'all'),
+    };
+    return this.#digest(DOMAIN_DIGEST_METHOD, lowestPosition, content, sections);
   }
 
   /**
@@ -120,34 +141,57 @@
       ? loads.withoutIdle(loads.sum(loadSource.isPartial, this.#inFlight))
       : {};
     const counted = this.#includedReports(includesLoads);
-    return this.#digest(FLEET_DIGEST_METHOD, lowestPosition, {
-      absent: encodeIncarnationKeys(this.#absentHosts()),
-      regions: encodeRegionSummaries(this.#regionSummaries()),
-      counted: encodeRows(counted),
-      ...this.#commonFields(inFlight, usage),
-      ...this.#limits(this.#options.limits.buildReport(loadSource.isPartial)),
-      ...this.#suspects('all'),
-    });
+    const sections = new MessageSections();
+    const regions = this.#regionSummaries();
+    const content = {
+      absent: sections.fit('absent', encodeIncarnationKeys(this.#absentHosts())),
+      regions: sections.fit('regions', encodeRegionSummaries(regions), () =>
+        encodeRegionSummaries(withMainRates(regions)),
+      ),
+      counted: sections.fit('counted', encodeRows(counted), () =>
+        encodeRows(inTurn(counted, this.#sequence)),
+      ),
+      ...this.#commonFields(sections, inFlight, usage),
+      ...this.#limits(sections, this.#options.limits.buildReport(loadSource.isPartial)),
+      ...this.#suspects(sections, 'all'),
+    };
+    return this.#digest(FLEET_DIGEST_METHOD, lowestPosition, content, sections);
   }
 
-  #digest(method: string, lowestPosition: StorePosition, content: Record<string, unknown>): string {
+  #digest(
+    method: string,
+    lowestPosition: StorePosition,
+    content: Record<string, unknown>,
+    sections: MessageSections,
+  ): string {
     const news = this.#changesAfter(lowestPosition);
     const params = {
       from: this.#options.own.name,
       ...content,
       ...(news === undefined ? {} : { news }),
     };
-    return JSON.stringify(createJSONRPCNotification(method, params));
+    return this.#encode(method, params, sections);
+  }
+
+  #encode(method: string, params: object, { omitted }: MessageSections): string {
+    const isWhole = Object.keys(omitted).length === 0;
+    if (!isWhole) {
+      this.#options.onOmittedRows(omitted);
+    }
+    return JSON.stringify(
+      createJSONRPCNotification(method, { ...params, ...(isWhole ? {} : { omitted }) }),
+    );
   }
 
-  /** Registered hosts that are not reported to serve. */
+  /** Registered hosts that are not reported to serve; those of this region first. */
   #absentHosts(): string[] {
     const { view, peers, own, isLeaving } = this.#options;
     const isServing = (host: EntryHostRecord): boolean =>
       host.name === own.name ? !isLeaving() : peers.isDirectlyServing(host);
-    return view
-      .records('entryHost')
-      .flatMap(({ host }) => (isServing(host) ? [] : [incarnationKey(host)]));
+    const isOwnRegion = ({ region }: EntryHostRecord): boolean => region === own.region;
+    const absent = view.records('entryHost').flatMap(({ host }) => (isServing(host) ? [] : [host]));
+    const others = absent.filter((host) => !isOwnRegion(host));
+    return [...absent.filter(isOwnRegion), ...others].map(incarnationKey);
   }
 
   /** Busy cores and demand of each region. */
@@ -180,30 +224,41 @@
   }
 
   /** Empty where no target advertises a limit. */
-  #limits(reported: ReportedLimits): Record<string, unknown> {
-    const limits = encodeLimits(reported);
+  #limits(sections: MessageSections, reported: ReportedLimits): Record<string, unknown> {
+    const limits = sections.fit('limits', encodeLimits(reported), () =>
+      encodeLimits(mostUsedLimitsFirst(reported)),
+    );
     return limits === '' ? {} : { limits };
   }
 
-  #commonFields(inFlight: InFlightCounts, usage: UsageByName): Record<string, unknown> {
+  #commonFields(
+    sections: MessageSections,
+    inFlight: InFlightCounts,
+    usage: UsageByName,
+  ): Record<string, unknown> {
     const { view, confirmations, own, accounts } = this.#options;
     const { newest } = confirmations;
-    const accountRows = encodeAccountUsage(usage);
+    const accountRows = sections.fit('accounts', encodeAccountUsage(usage), () =>
+      encodeAccountUsage(mostUsedFirst(usage)),
+    );
     return {
       controlAddress: own.controlAddress,
       lastChange: view.lastChange.revision,
       ...(view.epoch === 0 ? {} : { epoch: view.epoch }),
       ...(view.retainedDigest === undefined ? {} : { kept: view.retainedDigest }),
       ...(newest === undefined ? {} : { storeAnswer: newest }),
-      inFlight: encodeInFlightCounts(inFlight),
+      inFlight: sections.fit('inFlight', encodeInFlightCounts(inFlight), () =>
+        encodeInFlightCounts(busiestFirst(inFlight)),
+      ),
       remembered: Math.round(accounts.historyMilliseconds),
       ...(accountRows === '' ? {} : { accounts: accountRows }),
     };
   }
 
   /** A relay passes on all suspects, any other host reports only those that it saw itself. */
-  #suspects(which: 'own' | 'all'): Record<string, unknown> {
-    const suspects = encodeSuspects(this.#options.suspects.table.report(which));
+  #suspects(sections: MessageSections, which: 'own' | 'all'): Record<string, unknown> {
+    const rows = encodeSuspects(this.#options.suspects.table.report(which));
+    const suspects = sections.fit('suspects', rows);
     return suspects === '' ? {} : { suspects };
   }
 
--- a/packages/entry/src/peers/peer-exchange.ts
+++ b/packages/entry/src/peers/peer-exchange.ts
@@ -45,7 +45,10 @@
   z.object({ method: z.literal(FLEET_DIGEST_METHOD), params: fleetDigestSchema }),
 ]);
 
-export interface PeerExchangeOptions extends Omit<MessageWriterOptions, 'confirmations' | 'own'> {
+export interface PeerExchangeOptions extends Omit<
+  MessageWriterOptions,
+  'confirmations' | 'own' | 'onOmittedRows'
+> {
   readonly events: EventLog;
   readonly viewExchange: ViewExchange;
   readonly createTransport: CreateTransport;
@@ -105,7 +108,14 @@
 
   start(own: EntryHostRecord): void {
     const plan = new RelayPlan({ ...this.#options, own });
-    const writer = new MessageWriter({ ...this.#options, confirmations: this.#confirmations, own });
+    const writer = new MessageWriter({
+      ...this.#options,
+      confirmations: this.#confirmations,
+      own,
+      onOmittedRows: (omitted) => {
+        this.counts.recordOmittedRows(omitted);
+      },
+    });
     this.#running = { own, plan, writer };
     this.#tasks.start('reports', async (signal) => {
       while (!signal.aborted) {
--- a/packages/entry/src/peers/peer-messages.ts
+++ b/packages/entry/src/peers/peer-messages.ts
@@ -56,6 +56,8 @@
   /** Newest store confirmation that the sender has received; absent if none. */
   storeAnswer: storeConfirmationSchema.optional(),
   inFlight: inFlightCountsSchema,
+  /** Rows that did not fit into the message, by section; absent if it is whole. */
+  omitted: z.record(z.string(), z.number().int()).optional(),
   /** Length of the request history behind `accounts`, in milliseconds. */
   remembered: z.number().nonnegative().default(0),
   /** Usage of client accounts' limits; absent if none. */
--- a/packages/entry/tests/metrics-text.test.ts
+++ b/packages/entry/tests/metrics-text.test.ts
@@ -7,7 +7,7 @@
 CHANGE_DELAYS.record(3, 250);
 
 const HOST_METRICS = {
-  datagrams: { sent: 40, sentBytes: 9_000, failed: 2, largestBytes: 1_200 },
+  datagrams: { sent: 40, sentBytes: 9_000, failed: 2, largestBytes: 1_200, omittedRows: 3 },
   peerCalls: { total: 5, failed: 1 },
   changeDelays: CHANGE_DELAYS,
   beliefAgeMilliseconds: 250,
@@ -64,6 +64,7 @@
         'ferrylock_datagram_bytes_sent_total 9000',
         'ferrylock_datagrams_failed_total 2',
         'ferrylock_largest_datagram_bytes 1200',
+        'ferrylock_omitted_rows_total 3',
         'ferrylock_peer_calls_total 5',
         'ferrylock_peer_calls_failed_total 1',
         'ferrylock_targets_ended_total 2',
--- a/packages/entry/tests/peers/message-writer.test.ts
+++ b/packages/entry/tests/peers/message-writer.test.ts
@@ -48,7 +48,9 @@
     utilization: () => 0.1,
     asked: () => ({ 'verdict-api': 0.5 }),
     storeAnsweredAt: () => -Infinity,
+    onOmittedRows: (rows) => omitted.push(rows),
   });
+  const omitted: OmittedRows[] = [];
   const digest = (lowestRevision = 0) => {
     const { params } = JSON.parse(writer.fleetDigest({ revision: lowestRevision }, false)) as {
       params: unknown;
