--- a/packages/test-utils/src/entry-fleet.ts
+++ b/packages/test-utils/src/entry-fleet.ts
@@ -47,6 +47,8 @@
 export interface EntryFleetHost {
   readonly member: FleetMember;
   readonly record: EntryHostRecord;
+  /** Names it and determines its failure domain and capacity. */
+  readonly number: number;
 }
 
 /**
@@ -186,20 +188,18 @@
     });
   }
 
-  /** Ends a host without notice; it starts again as another process after some time. */
+  /** Ends the host at a place without notice; it starts again as another process after some time. */
   async restartHost(index: number, downMilliseconds: number): Promise<void> {
-    const host = this.hosts[index];
-    if (host !== undefined) {
-      this.network.disconnect(host.record);
-      await host.member.close();
-    }
+    const host = this.#hostAt(index);
+    this.network.disconnect(host.record);
+    await host.member.close();
     await this.#options.clock.sleep(downMilliseconds);
-    this.#startHost(index);
+    this.#startHost(host.number);
   }
 
-  /** Cuts a host off from the other hosts, or ends that; the store is reached all the time. */
+  /** Cuts the host at a place off from the other hosts, or ends that; the store is reached all the time. */
   setCut(index: number, isCut: boolean): void {
-    this.network.setCut(`host-${index}`, isCut);
+    this.network.setCut(this.#hostAt(index).record.name, isCut);
   }
 
   /**
@@ -211,14 +211,23 @@
     this.#startHost(index);
   }
 
-  /** Cuts a host off from the store, or ends that. */
+  /** Cuts the host at a place off from the store, or ends that. */
   setStoreCut(index: number, isCut: boolean): void {
-    const way = this.#waysToStore.get(`host-${index}`);
+    const way = this.#waysToStore.get(this.#hostAt(index).record.name);
     if (way !== undefined) {
       way.isCut = isCut;
     }
   }
 
+  /** The host at a place of {@link hosts}, which are in the order of their first starts. */
+  #hostAt(index: number): EntryFleetHost {
+    const host = this.hosts[index];
+    if (host === undefined) {
+      throw new Error(`expected a host at place ${index}, there are ${this.hosts.length}`);
+    }
+    return host;
+  }
+
   #startHost(index: number): void {
     const { clock, domains, largeHostsPerDomain } = this.#options;
     const place = Math.floor(index / domains);
@@ -248,7 +257,7 @@
       utilization: () => 0.05,
     });
     this.network.connect(record, member);
-    this.#putHost({ member, record });
+    this.#putHost({ member, record, number: index });
     void member.listen().then(() => {
       member.start(record);
     });
