perf(entry): begin to watch the store when it is due, not at the next check

A host whose confirmations stop begins to watch after 1.5 to 1.8 s by its rank; it checked each 250 ms, which added up to that. It now sleeps until then, 250 ms at most, so that nothing is added at rest.

The test passed before too; it holds the sum of docs/design/0020.

--- a/packages/entry/src/fleet-member.ts
+++ b/packages/entry/src/fleet-member.ts
@@ -176,6 +176,7 @@
       view,
       health: this.#storeHealth,
       isWatcher: () => watcherSelection.isWatcher,
+      watchDueMilliseconds: () => watcherSelection.dueMilliseconds,
       relistDelayMilliseconds: () => watcherSelection.relistDelayMilliseconds,
       queryPeers: (position, listed) => this.#storeRestore.queryPeers(position, listed),
     });
--- a/packages/entry/src/fleet/store-watch.ts
+++ b/packages/entry/src/fleet/store-watch.ts
@@ -18,8 +18,9 @@
 const TRANSIT_MILLISECONDS = 100;
 /** Pause after changes, so that changes in quick succession arrive in one response. */
 const BATCH_MILLISECONDS = 20;
-/** Interval at which a host that does not watch checks whether it must. */
-const IDLE_MILLISECONDS = 250;
+/** Longest interval at which a host that does not watch checks whether it must. */
+const MAX_IDLE_MILLISECONDS = 250;
+const MIN_IDLE_MILLISECONDS = 10;
 /** Pause after a failed call. */
 const RETRY_MILLISECONDS = 250;
 /** Minimum time between two listings by one host. */
@@ -35,6 +36,8 @@
   readonly disabledMechanisms: DisabledMechanisms;
   /** Whether this host watches the store itself instead of relying on peers. */
   readonly isWatcher: () => boolean;
+  /** Time until this host watches the store unless a confirmation arrives, in milliseconds. */
+  readonly watchDueMilliseconds: () => number;
   /** Delay before a relist, so that other hosts go first. */
   readonly relistDelayMilliseconds: () => number;
   /**
@@ -76,10 +79,11 @@
   }
 
   async #run(signal: AbortSignal): Promise<void> {
-    const { clock, random, isWatcher, view } = this.#options;
+    const { clock, random, isWatcher, watchDueMilliseconds, view } = this.#options;
     while (!signal.aborted) {
       if (!isWatcher()) {
-        await clock.sleep(IDLE_MILLISECONDS, signal);
+        const due = Math.max(MIN_IDLE_MILLISECONDS, watchDueMilliseconds());
+        await clock.sleep(Math.min(MAX_IDLE_MILLISECONDS, due), signal);
         continue;
       }
       const result = view.isEmpty ? await this.#list() : await this.#wait(signal);
--- a/packages/entry/src/watcher-selection.ts
+++ b/packages/entry/src/watcher-selection.ts
@@ -45,12 +45,13 @@
   }
 
   get isWatcher(): boolean {
+    return this.#options.view.isEmpty || this.dueMilliseconds < 0 || this.#relayRank() < WATCHERS;
+  }
+
+  /** Time until this host watches the store unless a confirmation arrives; negative if overdue. */
+  get dueMilliseconds(): number {
     const { clock, view } = this.#options;
-    const age = clock.now() - view.confirmedAt;
-    if (view.isEmpty || age > STALE_MILLISECONDS + this.#stagger()) {
-      return true;
-    }
-    return this.#relayRank() < WATCHERS;
+    return view.confirmedAt + STALE_MILLISECONDS + this.#stagger() - clock.now();
   }
 
   /** Delay before this host relists; watchers go first, as their updates propagate fastest. */
--- a/packages/entry/tests/fleet/store-watch.test.ts
+++ b/packages/entry/tests/fleet/store-watch.test.ts
@@ -46,7 +46,12 @@
   const store = new ScriptedStore();
   const view = new FleetView();
   const health = new StoreHealth(clock, log);
-  const state = { isWatcher: true, relistDelayMilliseconds: 0, apply: (): void => undefined };
+  const state = {
+    isWatcher: true,
+    relistDelayMilliseconds: 0,
+    watchDueMilliseconds: Infinity,
+    apply: (): void => undefined,
+  };
   const watch = new StoreWatch({
     clock,
     random: new SeededRandom(1),
@@ -56,6 +61,7 @@
     health,
     disabledMechanisms: NO_DISABLED_MECHANISMS,
     isWatcher: () => state.isWatcher,
+    watchDueMilliseconds: () => state.watchDueMilliseconds,
     relistDelayMilliseconds: () => state.relistDelayMilliseconds,
     queryPeers: () => Promise.resolve(state.apply),
   });
