--- a/packages/control/src/allotments/position-fence.ts
+++ b/packages/control/src/allotments/position-fence.ts
@@ -13,7 +13,8 @@
 /**
  * Decides if this daemon may still use its positions. Either the store confirms it, or, while the
  * store is down, peers that hold a majority of the positions and have not promised to stop. A
- * claimant needs promises from a majority as well, so the two exclude each other.
+ * claimant needs promises from a majority as well, so the two exclude each other. Who holds a
+ * position is decided by the store alone.
  */
 export class PositionFence {
   readonly #confirmations = new Map<string, Confirmation>();
--- a/packages/entry/src/accounts/account-limit-controller.ts
+++ b/packages/entry/src/accounts/account-limit-controller.ts
@@ -35,7 +35,8 @@
  */
 const SURGE_GROWTH_SHARE = 0.045;
 /**
- * Number of requests added to that growth, because usage of small accounts fluctuates by chance.
+ * Number of requests added to that growth, because usage of small accounts fluctuates by chance and
+ * would trigger more reports than the regular rounds.
  */
 const SURGE_GROWTH_REQUESTS = 10;
 
--- a/packages/entry/src/request/request-forwarder.ts
+++ b/packages/entry/src/request/request-forwarder.ts
@@ -336,7 +336,7 @@
 /**
  * Checks whether the caller has already closed its connection. After a delay of the event loop both
  * the request and the close may be pending; the close is read one turn of the loop after the
- * request.
+ * request, and a request sent to a target until then is work for nobody.
  */
 async function hasDisconnected({ request }: CallerExchange): Promise<boolean> {
   await setImmediate();
--- a/packages/entry/src/suspects/suspect-controller.ts
+++ b/packages/entry/src/suspects/suspect-controller.ts
@@ -9,7 +9,10 @@
 import { SuspectRecordStore, TRIAL_AFTER_MILLISECONDS } from './suspect-record-store.js';
 import type { TargetCrash } from './target-crash-detector.js';
 
-/** Minimum interval between two immediate reports to peers. */
+/**
+ * Minimum interval between two immediate reports to peers. Until other hosts know of a crash, each
+ * may send the request on to another target.
+ */
 const MIN_UPDATE_INTERVAL_MILLISECONDS = 100;
 
 const MILLISECONDS_PER_SECOND = 1_000;
--- a/packages/routing/src/accounts/account-quota.ts
+++ b/packages/routing/src/accounts/account-quota.ts
@@ -56,11 +56,17 @@
 const UNACCOUNTED_RESERVE = 0.6;
 /** Fraction of its share of the remaining quota that a host uses on stale reports. */
 const STALE_SHARE = 0.15;
-/** Fraction of the limit that one host admits in that time, so that idle hosts share a surge. */
+/**
+ * Fraction of the limit that one host admits in that time, so that idle hosts share a surge.
+ * Otherwise each of them would admit the whole limit before it knew of the others.
+ */
 const MAX_BURST_SHARE = 0.25;
 /** Minimum number of requests admitted on stale reports, so that new callers are not refused. */
 const MIN_STALE_RUNS = 2;
-/** Buckets of the window, which is one bucket longer than necessary. */
+/**
+ * Buckets of the window, which is one bucket longer than necessary: the oldest expires as a whole.
+ * That costs up to a fortieth of the limit.
+ */
 const BUCKETS = 40;
 /** Window over which a host measures the demand of its own callers. */
 const RATE_MILLISECONDS = 1_000;
--- a/packages/routing/src/cold-start-limiter.ts
+++ b/packages/routing/src/cold-start-limiter.ts
@@ -3,7 +3,10 @@
 
 /** Limit on entry hosts that send to one cold target; each may start with one request. */
 const MAX_SENDERS = 4;
-/** Minimum rate of each sender in requests per second. */
+/**
+ * Minimum rate of each sender in requests per second, so that the request with which each may start
+ * is a small part of its rate.
+ */
 const MIN_SENDER_RATE = 2;
 /** Fraction of the capacity of a cold target that is used. */
 const UTILIZATION = 0.7;
--- a/packages/routing/src/limits/advertised-limit.ts
+++ b/packages/routing/src/limits/advertised-limit.ts
@@ -1,4 +1,7 @@
-/** Lower bound of a limit, in requests per second: only a response can revoke a limit. */
+/**
+ * Lower bound of a limit, in requests per second: only a response can revoke a limit, so a target
+ * that accepts nothing still gets a request every ten seconds.
+ */
 const MIN_PER_SECOND = 0.1;
 /** Upper bound of a limit, in requests per second. */
 const MAX_PER_SECOND = 1e9;
--- a/packages/routing/src/overflow-budget.ts
+++ b/packages/routing/src/overflow-budget.ts
@@ -7,7 +7,10 @@
 const PLACEMENT_SHARE = 0.4;
 /** Share of the limit reserved for requests that leave their region because of a wait. */
 const OVERFLOW_SHARE = 0.4;
-/** Share of the requests of a region in one window that its hosts may save up as overflows. */
+/**
+ * Share of the requests of a region in one window that its hosts may save up as overflows. With
+ * the overflows of the window itself it stays below the limit.
+ */
 const SAVED_SHARE = 0.05;
 const MILLISECONDS_PER_SECOND = 1_000;
 
@@ -35,8 +38,9 @@
  * coordination.
  *
  * With many hosts, the share of one host in a window is less than one request. Such a host saves
- * its share up to one whole overflow. Only as many hosts of a region save as fit into the limit if
- * all of them overflow at once.
+ * its share up to one whole overflow; without this it would refuse requests that targets elsewhere
+ * have capacity for. Only as many hosts of a region save as fit into the limit if all of them
+ * overflow at once.
  */
 export class OverflowBudget {
   readonly #options: OverflowBudgetOptions;
--- a/packages/routing/src/region-placement.ts
+++ b/packages/routing/src/region-placement.ts
@@ -4,7 +4,8 @@
 const HASH_RANGE = 0x1_0000_0000;
 /**
  * Utilization of the slots of a region up to which it keeps all its keys. Above one half, random
- * arrivals often fill all slots of the target of a key.
+ * arrivals often fill all slots of the target of a key: with five slots, in more than one moment of
+ * eight.
  */
 const TARGET_UTILIZATION = 0.5;
 /**
--- a/packages/routing/src/suspects/suspect-table.ts
+++ b/packages/routing/src/suspects/suspect-table.ts
@@ -116,7 +116,8 @@
   }
 
   /**
-   * Records a response to the request.
+   * Records a response to the request: a target ran it to the end, so earlier crashes may have had
+   * another cause.
    *
    * @param responses - number of responses that it counts as
    */
--- a/packages/routing/src/target-selector.ts
+++ b/packages/routing/src/target-selector.ts
@@ -6,7 +6,10 @@
 
 /** Targets of a region that cache an object, as redundancy. */
 const REPLICAS = 2;
-/** Load per slot up to which a target accepts cache misses, which take longer. */
+/**
+ * Load per slot up to which a target accepts cache misses, which take longer: where all targets are
+ * busy, they would make them busier still.
+ */
 const MAX_MISS_LOAD_PER_SLOT = 0.5;
 /** Presumed additional processing time of a cache miss, relative to a hit, until it is known. */
 const PRESUMED_MISS_PENALTY = 1;
--- a/packages/routing/src/target-signals.ts
+++ b/packages/routing/src/target-signals.ts
@@ -1,6 +1,9 @@
 import { AdvertisedLimit } from './limits/advertised-limit.js';
 
-/** Upper bound of a rest: longer requests are presumed mistakes, and a target can ask again. */
+/**
+ * Upper bound of a rest: longer requests are presumed mistakes, such as a date in seconds, which
+ * would lose the target until it restarts. A target can ask again.
+ */
 const MAX_REST_MILLISECONDS = 3_600_000;
 
 /**
