--- a/packages/entry/src/peers/message-writer.ts
+++ b/packages/entry/src/peers/message-writer.ts
@@ -3,14 +3,12 @@
 import { createJSONRPCNotification } from 'json-rpc-2.0';
 import type { AccountLimitController } from '../accounts/account-limit-controller.js';
 import type { EntryHostRecord } from '../fleet/fleet-record.js';
-import type { FleetDelta } from '../fleet/fleet-delta.js';
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { StorePosition } from '../fleet/store-position.js';
-import { isAfter } from '../fleet/store-position.js';
 import type { TargetLimitController } from '../limits/target-limit-controller.js';
 import type { SuspectController } from '../suspects/suspect-controller.js';
-import { ChangeSizes } from './change-sizes.js';
 import { encodeAccountUsage } from './account-rows.js';
+import { DigestNews } from './digest-news.js';
 import type { HostStatus, RequestRates } from './host-status.js';
 import { encodeStatuses } from './host-status.js';
 import type { InFlightCounts } from './in-flight.js';
@@ -40,12 +38,6 @@
   withMainRates,
 } from './fleet-summary.js';
 
-/**
- * Bound on the changes in a digest, which goes to many hosts. Larger ones are fetched by the hosts
- * that lack them, once each.
- */
-const MAX_NEWS_BYTES = 4_096;
-
 export interface MessageWriterOptions {
   readonly clock: Clock;
   readonly view: FleetView;
@@ -70,7 +62,7 @@
 /** Builds this host's messages to peers: its reports and, on a relay, digests. */
 export class MessageWriter {
   readonly #options: MessageWriterOptions;
-  readonly #changeSizes = new ChangeSizes();
+  readonly #news: DigestNews;
   #sequence = 0;
   #inFlight: InFlightCounts = {};
   #usage: UsageByName = { used: {}, demand: {} };
@@ -78,6 +70,7 @@
 
   constructor(options: MessageWriterOptions) {
     this.#options = options;
+    this.#news = new DigestNews(options.view);
   }
 
   /** True if this host had requests in flight when the round began. */
@@ -164,7 +157,7 @@
     content: Record<string, unknown>,
     sections: MessageSections,
   ): string {
-    const news = this.#changesAfter(lowestPosition);
+    const news = this.#news.after(lowestPosition);
     const params = {
       from: this.#options.own.name,
       ...content,
@@ -284,14 +277,6 @@
     return [this.#ownStatus(), ...members];
   }
 
-  #changesAfter(position: StorePosition): FleetDelta | undefined {
-    const { view } = this.#options;
-    const delta = isAfter(view.lastChange, position) ? view.deltaSince(position) : undefined;
-    const changes = [...(delta?.changes ?? []), ...(delta?.kept ?? [])];
-    const bytes = changes.reduce((sum, change) => sum + this.#changeSizes.bytesOf(change), 0);
-    return bytes <= MAX_NEWS_BYTES ? delta : undefined;
-  }
-
   /** Records a new response of the store to this host under the sequence number of this round. */
   #recordStoreAnswer(): void {
     const { clock, view, confirmations, own, storeAnsweredAt } = this.#options;
--- a/packages/entry/src/peers/peer-exchange.ts
+++ b/packages/entry/src/peers/peer-exchange.ts
@@ -1,10 +1,9 @@
 import { BackgroundTasks, describeParseError } from '@ferrylock/utils';
-import { z } from 'zod';
 import type { EventLog } from '../events.js';
 import type { EntryHostRecord } from '../fleet/fleet-record.js';
-import type { StorePosition } from '../fleet/store-position.js';
 import { isAfter, positionOf } from '../fleet/store-position.js';
 import { DatagramCounts } from './datagram-counts.js';
+import { DatagramSender } from './datagram-sender.js';
 import type { DatagramTransport, CreateTransport } from './datagram-transport.js';
 import type { UpdateSource } from '../suspects/suspect-controller.js';
 import type { HostStatus } from './host-status.js';
@@ -12,14 +11,7 @@
 import { MessageWriter } from './message-writer.js';
 import type { MessageWriterOptions } from './message-writer.js';
 import type { DomainDigest, FleetDigest, HostReport, CommonFields } from './peer-messages.js';
-import {
-  DOMAIN_DIGEST_METHOD,
-  domainDigestSchema,
-  FLEET_DIGEST_METHOD,
-  fleetDigestSchema,
-  hostReportSchema,
-  REPORT_METHOD,
-} from './peer-messages.js';
+import { DOMAIN_DIGEST_METHOD, peerMessageSchema, REPORT_METHOD } from './peer-messages.js';
 import type { StatusSource } from './peer-table.js';
 import { PeerPositions } from './peer-positions.js';
 import { RelayPlan } from './relay-plan.js';
@@ -39,12 +31,6 @@
 /** Minimum interval between rounds, including triggered ones. */
 const MIN_ROUND_INTERVAL_MILLISECONDS = 40;
 
-const messageSchema = z.discriminatedUnion('method', [
-  z.object({ method: z.literal(REPORT_METHOD), params: hostReportSchema }),
-  z.object({ method: z.literal(DOMAIN_DIGEST_METHOD), params: domainDigestSchema }),
-  z.object({ method: z.literal(FLEET_DIGEST_METHOD), params: fleetDigestSchema }),
-]);
-
 export interface PeerExchangeOptions extends Omit<
   MessageWriterOptions,
   'confirmations' | 'own' | 'onOmittedRows'
@@ -70,6 +56,7 @@
   readonly counts: DatagramCounts;
   readonly #options: PeerExchangeOptions;
   readonly #transport: DatagramTransport;
+  readonly #sender: DatagramSender;
   readonly #tasks: BackgroundTasks;
   readonly #confirmations: StoreConfirmations;
   readonly #positions = new PeerPositions();
@@ -87,9 +74,13 @@
     this.counts = new DatagramCounts(options.clock, options.events);
     this.#confirmations = new StoreConfirmations(options.clock);
     this.#tasks = new BackgroundTasks(options.events.logger);
-    this.#transport = options.createTransport((text) => {
+    const transport = options.createTransport((text) => {
       this.handleDatagram(text);
     });
+    this.#transport = transport;
+    const { view } = options;
+    const { counts } = this;
+    this.#sender = new DatagramSender({ view, transport, positions: this.#positions, counts });
     options.view.onChanges((changes) => {
       this.#confirmations.apply(options.view);
       // New hosts can wait for the next regular round: hundreds may register at once.
@@ -168,7 +159,7 @@
   handleDatagram(text: string): void {
     const { events } = this.#options;
     try {
-      const parsed = messageSchema.safeParse(JSON.parse(text));
+      const parsed = peerMessageSchema.safeParse(JSON.parse(text));
       if (!parsed.success) {
         events.logger.warn('ignoring malformed datagram', { detail: parsed.error.message });
       } else if (parsed.data.method === REPORT_METHOD) {
@@ -283,16 +274,16 @@
     const { reportRecipients, isRelay } = recipients;
     this.#round++;
     const isDue = (every: number): boolean => isUrgent || this.#round % every === 0;
-    this.#send(reportRecipients, () => writer.report());
-    this.#send(recipients.sameRegionRelays, (known) => writer.domainDigest(known));
+    this.#sender.send(reportRecipients, () => writer.report());
+    this.#sender.send(recipients.sameRegionRelays, (known) => writer.domainDigest(known));
     if (isDue(ROUNDS_PER_CROSS_REGION_DIGEST)) {
-      this.#send(recipients.otherRegionRelays, (known) => writer.domainDigest(known));
+      this.#sender.send(recipients.otherRegionRelays, (known) => writer.domainDigest(known));
     }
     if (isDue(ROUNDS_PER_DIGEST)) {
-      this.#send(recipients.activeMembers, (known) => writer.fleetDigest(known, true));
+      this.#sender.send(recipients.activeMembers, (known) => writer.fleetDigest(known, true));
     }
     if (isDue(ROUNDS_PER_IDLE_DIGEST)) {
-      this.#send(recipients.idleMembers, (known) => writer.fleetDigest(known, false));
+      this.#sender.send(recipients.idleMembers, (known) => writer.fleetDigest(known, false));
     }
     this.#isRelay = isRelay;
     if (this.#isRelay) {
@@ -300,19 +291,4 @@
       this.#options.loads.drop(loadSource.fleet);
     }
   }
-
-  #send(hosts: readonly EntryHostRecord[], write: (lowestPosition: StorePosition) => string): void {
-    if (hosts.length === 0) {
-      return;
-    }
-    const names = hosts.map(({ name }) => name);
-    const datagram = Buffer.from(write(this.#positions.lowest(names)));
-    this.#positions.recordSent(names, this.#options.view.lastChange);
-    for (const { reportAddress } of hosts) {
-      this.counts.recordSend(datagram.length);
-      this.#transport.send(reportAddress, datagram, (reason) => {
-        this.counts.recordFailure(reportAddress, datagram.length, reason);
-      });
-    }
-  }
 }
--- a/packages/entry/src/peers/peer-messages.ts
+++ b/packages/entry/src/peers/peer-messages.ts
@@ -112,6 +112,13 @@
   ...digestFields,
 });
 
+/** Any datagram between hosts. */
+export const peerMessageSchema = z.discriminatedUnion('method', [
+  z.object({ method: z.literal(REPORT_METHOD), params: hostReportSchema }),
+  z.object({ method: z.literal(DOMAIN_DIGEST_METHOD), params: domainDigestSchema }),
+  z.object({ method: z.literal(FLEET_DIGEST_METHOD), params: fleetDigestSchema }),
+]);
+
 export type DeltaParams = z.infer<typeof deltaParamsSchema>;
 export type DeltaResult = z.infer<typeof deltaResultSchema>;
 export type HostReport = z.infer<typeof hostReportSchema>;
