feat(entry): tell whether this host reaches the targets of a failure domain, or none at all

Change, no decision follows from it yet: TargetReachability observes sends, answers and connections by failure domain. A failed connection, or silence while requests are in flight, is only a reason to check; new connections to targets that answered last, of two services where possible, decide. Lines: domain-reachability with the checks, reachability when the host begins and ceases to reach no target (silence, domains, peers that serve); refused lines carry unreachableMilliseconds; gauges reaches_no_target and unreachable_domains. checkConnection moves beside it and lets an acceptance that has arrived win over a late timer.

Ruled out: TCP keep-alive probes of Node (first after the initial delay, then ten of a second each) notice far too late.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -26,7 +26,7 @@
 import { restingTargets } from './routing/resting-targets.js';
 import type { RoutingState } from './routing/routing-state.js';
 import { EventLoopDelay } from './event-loop-delay.js';
-import { checkConnection } from './suspects/check-connection.js';
+import { checkConnection } from './reachability/check-connection.js';
 import { TargetCrashDetector } from './suspects/target-crash-detector.js';
 import { ControlServer } from './servers/control-server.js';
 import { TrafficServer } from './servers/traffic-server.js';
@@ -74,6 +74,7 @@
       ...options,
       peerCalls: new PeerClient(),
       createTransport: (onMessage) => new UdpTransport(events, onMessage),
+      checkConnection,
       onSweep: (lateMilliseconds) => {
         this.#utilizationMeter.sample();
         eventLoopDelay.record(lateMilliseconds);
@@ -81,11 +82,15 @@
       utilization: () => this.#utilizationMeter.utilization,
     });
     this.#largeHosts = { of: [], names: [settings.name] };
-    const { view, state, peers, accounts, limits, suspects } = this.#member;
+    const { view, state, peers, accounts, limits, suspects, reachability } = this.#member;
     this.#client = new TargetClient({
       clock,
       onConnected: (address, milliseconds) => {
         state.recordConnectTime(address, milliseconds);
+        const failureDomain = state.failureDomainOf(address);
+        if (failureDomain !== undefined) {
+          reachability.recordConnected(failureDomain);
+        }
       },
     });
     this.#crashDetector = new TargetCrashDetector({
@@ -118,6 +123,7 @@
       client: this.#client,
       crashDetector: this.#crashDetector,
       suspects,
+      reachability,
       signalRecorder: this.#signalRecorder,
       limits: limits.limits,
       bodyReader: new BodyReader(clock, settings.maxBufferedBodyBytes),
@@ -126,6 +132,7 @@
         view,
         state,
         viewExchange: this.#member.viewExchange,
+        reachability,
         metrics: this.metrics,
       }),
       metrics: this.metrics,
@@ -171,7 +178,8 @@
   /** Metrics in the Prometheus text format. */
   metricsText(): string {
     const { clock, events } = this.#options;
-    const { view, peers, state, hosts, limits, storeProgress, viewExchange } = this.#member;
+    const { view, peers, state, hosts, limits, reachability, storeProgress, viewExchange } =
+      this.#member;
     const services = [...state.services];
     return metricsText(this.metrics, {
       beliefAgeMilliseconds: clock.now() - view.confirmedAt,
@@ -186,6 +194,8 @@
       changeDelays: this.#member.changeDelays,
       configurationVersion: state.active?.version,
       peersHeard: hosts.filter((host) => peers.isAlive(host)).length,
+      reachesNone: reachability.reachesNone,
+      unreachableDomains: reachability.unreachableDomains.length,
       targetsKnown: services.reduce((sum, { targets }) => sum + targets.size, 0),
       logLinesDropped: events.dropped,
       unreadableRecords: events.unreadable,
--- a/packages/entry/src/events.ts
+++ b/packages/entry/src/events.ts
@@ -132,6 +132,33 @@
     alive: z.boolean(),
     silentMilliseconds: z.number(),
   }),
+  /**
+   * New connections to the targets of a failure domain have begun to fail, or succeed again. The
+   * checks of connections to some of them decide.
+   */
+  z.object({
+    event: z.literal('domain-reachability'),
+    failureDomain: z.string(),
+    isReachable: z.boolean(),
+    /** Silence before, or duration of the failure. */
+    milliseconds: z.number(),
+    checks: z.array(
+      z.object({ target: z.string(), connection: z.enum(['refused', 'taken', 'unknown']) }),
+    ),
+  }),
+  /** The host has begun or ceased to reach no target at all. */
+  z.object({
+    event: z.literal('reachability'),
+    reachesNone: z.boolean(),
+    /** Silence of all targets before, or duration of the failure. */
+    milliseconds: z.number(),
+    /** Failure domains to which new connections fail. */
+    unreachable: z.array(z.string()),
+    /** Number of failure domains with targets. */
+    failureDomains: z.number(),
+    /** Number of other hosts that report to serve callers. */
+    peersServing: z.number(),
+  }),
   /** The eligibility of a target has changed. */
   z.object({
     event: z.literal('target'),
@@ -237,6 +264,8 @@
     attempts: z.number(),
     milliseconds: z.number(),
     beliefAgeMilliseconds: z.number(),
+    /** Time since failure domains are unreachable from this host; absent if none is. */
+    unreachableMilliseconds: z.number().optional(),
     /** What the decision was based on, if it follows from the configuration alone. */
     knowledge: z
       .object({
--- a/packages/entry/src/fleet-member.ts
+++ b/packages/entry/src/fleet-member.ts
@@ -20,6 +20,8 @@
 import { PeerLoads } from './peers/peer-loads.js';
 import { PeerTable } from './peers/peer-table.js';
 import { ViewExchange } from './peers/view-exchange.js';
+import type { CheckConnection } from './reachability/check-connection.js';
+import { TargetReachability } from './reachability/target-reachability.js';
 import { PlacementController } from './routing/placement-controller.js';
 import { SuspectController } from './suspects/suspect-controller.js';
 import { RoutingState } from './routing/routing-state.js';
@@ -39,6 +41,7 @@
   readonly store: FleetStore;
   readonly peerCalls: PeerCalls;
   readonly createTransport: CreateTransport;
+  readonly checkConnection: CheckConnection;
   /** Called a few times a second with the delay of the call. */
   readonly onSweep: (lateMilliseconds: number) => void;
   /** Event loop utilization of this host, from 0 to 1. */
@@ -59,6 +62,8 @@
   readonly limits: TargetLimitController;
   /** Rejects requests that crash targets. */
   readonly suspects: SuspectController;
+  /** Tells which failure domains' targets this host reaches. */
+  readonly reachability: TargetReachability;
   /** Exchanges views with peers. */
   readonly viewExchange: ViewExchange;
   /** Delays until this host applied changes of the store. */
@@ -108,6 +113,12 @@
       ownRegion: settings.region,
       storeAvailableSince: () => this.#storeHealth.availableSince,
     });
+    this.reachability = new TargetReachability({
+      ...options,
+      services: () => this.state.services,
+      peersServing: () => this.#hosts.filter((host) => this.peers.isServing(host)).length,
+      onChange: () => undefined,
+    });
     this.#loads = new PeerLoads(clock, this.state);
     this.accounts = new AccountLimitController({
       ...options,
@@ -303,6 +314,7 @@
       previous = now;
       onSweep(paused);
       this.peers.sweep();
+      this.reachability.sweep();
       this.#loads.sweep();
       this.accounts.sweep();
       this.limits.sweep();
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -35,12 +35,14 @@
   HeaderCodec,
   ForwardMetadata,
 } from './request/header-codec.js';
+export { TargetReachability } from './reachability/target-reachability.js';
+export type { TargetReachabilityOptions } from './reachability/target-reachability.js';
 export { headerValues, parseDecimalHeader } from './request/decimal-header.js';
 export { parseRetryAfter } from './request/retry-after.js';
 export { forwardableHeaders } from './request/forwardable-headers.js';
 export { encodeSuspects, suspectsSchema } from './peers/suspect-rows.js';
-export { checkConnection } from './suspects/check-connection.js';
-export type { CheckConnection, ConnectionCheck } from './suspects/check-connection.js';
+export { checkConnection } from './reachability/check-connection.js';
+export type { CheckConnection, ConnectionCheck } from './reachability/check-connection.js';
 export type { FingerprintedRequest } from './suspects/request-fingerprint.js';
 export { requestFingerprint } from './suspects/request-fingerprint.js';
 export { TargetSignalRecorder } from './request/target-signal-recorder.js';
--- a/packages/entry/src/metrics-text.ts
+++ b/packages/entry/src/metrics-text.ts
@@ -37,6 +37,10 @@
   readonly configurationVersion: number | undefined;
   readonly peersHeard: number;
   readonly targetsKnown: number;
+  /** Whether this host reaches no target at all. */
+  readonly reachesNone: boolean;
+  /** Number of failure domains with targets to which new connections fail. */
+  readonly unreachableDomains: number;
   readonly logLinesDropped: number;
   /** Number of values in the store that could not be decoded. */
   readonly unreadableRecords: number;
@@ -82,6 +86,8 @@
     ...counter('peer_calls_failed_total', host.peerCalls.failed),
     ...gauge('peers_heard', host.peersHeard),
     ...gauge('targets_known', host.targetsKnown),
+    ...gauge('reaches_no_target', Number(host.reachesNone)),
+    ...gauge('unreachable_domains', host.unreachableDomains),
     ...counter('retries_total', metrics.retries),
     ...counter('log_lines_dropped_total', host.logLinesDropped),
     ...counter('unreadable_records_total', host.unreadableRecords),
--- a/packages/entry/src/suspects/check-connection.ts
+++ b/packages/entry/src/reachability/check-connection.ts
@@ -25,7 +25,8 @@
       finish('taken');
     });
     socket.on('timeout', () => {
-      finish('unknown');
+      // After a delay of the event loop the timer comes before an acceptance that has arrived.
+      setImmediate(finish, 'unknown');
     });
     socket.on('error', (error: NodeJS.ErrnoException) => {
       finish(error.code === 'ECONNREFUSED' ? 'refused' : 'unknown');
--- /dev/null
+++ b/packages/entry/src/reachability/select-witnesses.ts
@@ -0,0 +1,49 @@
+import type { ServiceTargets, TargetState } from '@ferrylock/routing';
+import { shuffled } from '@ferrylock/utils';
+import type { Random } from '@ferrylock/utils';
+
+/** Targets of a failure domain that one check connects to. */
+const WITNESSES = 2;
+
+/** Targets of a failure domain that are expected to accept connections. */
+export function targetsOf(
+  services: Iterable<ServiceTargets>,
+  failureDomain: string,
+): TargetState[] {
+  const targets: TargetState[] = [];
+  for (const service of services) {
+    for (const target of service.targets.values()) {
+      if (target.record.failureDomain === failureDomain && !target.leaving) {
+        targets.push(target);
+      }
+    }
+  }
+  return targets;
+}
+
+/**
+ * Selects the targets that answered last, which are the most likely to be alive; of two services
+ * where possible, since all targets of one may fail for the same reason.
+ */
+export function selectRecentWitnesses(targets: readonly TargetState[]): TargetState[] {
+  const recentFirst = [...targets].sort((a, b) => compareTimes(b, a));
+  const [first] = recentFirst;
+  if (first === undefined) {
+    return [];
+  }
+  const others = recentFirst.slice(1);
+  const second = others.find(({ record }) => record.service !== first.record.service) ?? others[0];
+  return second === undefined ? [first] : [first, second];
+}
+
+/** Selects random targets, so that one that is gone does not decide every check. */
+export function selectRandomWitnesses(
+  targets: readonly TargetState[],
+  random: Random,
+): TargetState[] {
+  return shuffled(random, targets).slice(0, WITNESSES);
+}
+
+function compareTimes({ lastResponseAt: a }: TargetState, { lastResponseAt: b }: TargetState) {
+  return a === b ? 0 : a - b;
+}
--- /dev/null
+++ b/packages/entry/src/reachability/target-reachability.ts
@@ -0,0 +1,196 @@
+import type { ServiceTargets, TargetState } from '@ferrylock/routing';
+import type { Clock, Random } from '@ferrylock/utils';
+import type { EventLog } from '../events.js';
+import type { CheckConnection } from './check-connection.js';
+import { COMMON_SILENCE_MILLISECONDS, DomainReachability } from './domain-reachability.js';
+import { selectRandomWitnesses, selectRecentWitnesses, targetsOf } from './select-witnesses.js';
+
+/** Limit on domains that one sweep begins to check. */
+const MAX_CHECKS_PER_SWEEP = 8;
+/** Unreachable domains that suffice as evidence where there are more. */
+const SUFFICIENT_DOMAINS = 8;
+/** Time for which an answer shows that open connections work. */
+const ANSWER_TTL_MILLISECONDS = 1_000;
+
+export interface TargetReachabilityOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly events: EventLog;
+  readonly services: () => Iterable<ServiceTargets>;
+  readonly checkConnection: CheckConnection;
+  /** Number of other hosts that report to serve callers, for the log. */
+  readonly peersServing: () => number;
+  /** Called when this host begins or ceases to reach any target at all. */
+  readonly onChange: () => void;
+}
+
+/**
+ * Tells which failure domains' targets this host reaches, so that a broken path is not taken for
+ * the failure of each target behind it. A failed connection attempt, or silence while requests are
+ * in flight, is only a reason to check: new connections to targets that answered recently decide.
+ */
+export class TargetReachability {
+  readonly #options: TargetReachabilityOptions;
+  readonly #domains = new Map<string, DomainReachability>();
+  /** Time of the last answer or accepted connection. */
+  #lastHeardAt = -Infinity;
+  #unreachableCount = 0;
+  #noneSince: number | undefined;
+
+  constructor(options: TargetReachabilityOptions) {
+    this.#options = options;
+  }
+
+  /** Whether this host reaches no target of any failure domain. */
+  get reachesNone(): boolean {
+    return this.#noneSince !== undefined;
+  }
+
+  /** Failure domains with targets to which new connections fail. */
+  get unreachableDomains(): string[] {
+    return this.#unreachableCount === 0
+      ? []
+      : [...this.#domains].flatMap(([name, { unreachableSince }]) =>
+          unreachableSince === undefined ? [] : [name],
+        );
+  }
+
+  /** Age of the oldest such belief in milliseconds; undefined if all domains are reachable. */
+  get unreachableMilliseconds(): number | undefined {
+    const times = this.unreachableDomains.map(
+      (name) => this.#domains.get(name)?.unreachableSince ?? Infinity,
+    );
+    return times.length === 0 ? undefined : this.#options.clock.now() - Math.min(...times);
+  }
+
+  recordSend({ record }: TargetState): void {
+    this.#domain(record.failureDomain).recordSend(this.#options.clock.now());
+  }
+
+  /** Records that a send has ended, with an answer or without. */
+  recordEnd({ record }: TargetState): void {
+    this.#domain(record.failureDomain).recordEnd();
+  }
+
+  recordAnswer({ record }: TargetState): void {
+    const now = this.#options.clock.now();
+    this.#lastHeardAt = now;
+    this.#domain(record.failureDomain).recordAnswer(now);
+  }
+
+  recordConnected(failureDomain: string): void {
+    const now = this.#options.clock.now();
+    const domain = this.#domain(failureDomain);
+    domain.recordConnected(now);
+    this.#lastHeardAt = Math.max(this.#lastHeardAt, domain.lastHeardAt);
+  }
+
+  recordConnectFailure({ record }: TargetState): void {
+    this.#domain(record.failureDomain).suspect();
+  }
+
+  /** Begins checks that are due and updates the belief; called a few times a second. */
+  sweep(): void {
+    const now = this.#options.clock.now();
+    const withTargets = this.#unreachableCount === 0 ? undefined : this.#suspectSilent(now);
+    const isCommonSilence = now - this.#lastHeardAt >= COMMON_SILENCE_MILLISECONDS;
+    const due = [...this.#domains].filter(([, domain]) => domain.isCheckDue(now, isCommonSilence));
+    due.sort(([, a], [, b]) => (a.checkedAt === b.checkedAt ? 0 : a.checkedAt - b.checkedAt));
+    for (const [name, domain] of due.slice(0, MAX_CHECKS_PER_SWEEP)) {
+      void this.#check(name, domain);
+    }
+    this.#updateReachesNone(withTargets ?? new Set(), now);
+  }
+
+  /** Suspects all domains that have not been heard; returns the domains with targets. */
+  #suspectSilent(now: number): Set<string> {
+    const names = new Set<string>();
+    for (const { targets } of this.#options.services()) {
+      for (const { leaving, record } of targets.values()) {
+        if (!leaving) {
+          names.add(record.failureDomain);
+        }
+      }
+    }
+    for (const name of names) {
+      const domain = this.#domain(name);
+      if (now - domain.lastHeardAt >= COMMON_SILENCE_MILLISECONDS) {
+        domain.suspect();
+      }
+    }
+    return names;
+  }
+
+  async #check(name: string, domain: DomainReachability): Promise<void> {
+    const { clock, random, services, checkConnection } = this.#options;
+    const targets = targetsOf(services(), name);
+    const witnesses =
+      domain.unreachableSince === undefined
+        ? selectRecentWitnesses(targets)
+        : selectRandomWitnesses(targets, random);
+    domain.beginCheck(clock.now());
+    const checks = await Promise.all(
+      witnesses.map(async ({ id, record }) => ({
+        target: id,
+        connection: await checkConnection(record.address),
+      })),
+    );
+    const accepted = checks.filter(({ connection }) => connection === 'taken').length;
+    const silentMilliseconds = clock.now() - domain.lastHeardAt;
+    const since = domain.unreachableSince;
+    const change = domain.endCheck({ accepted, attempted: checks.length }, clock.now());
+    this.#lastHeardAt = Math.max(this.#lastHeardAt, domain.lastHeardAt);
+    if (change === undefined) {
+      return;
+    }
+    this.#unreachableCount += change === 'lost' ? 1 : -1;
+    this.#options.events.write({
+      event: 'domain-reachability',
+      failureDomain: name,
+      isReachable: change === 'regained',
+      milliseconds: roundFinite(
+        change === 'lost' ? silentMilliseconds : clock.now() - (since ?? clock.now()),
+      ),
+      checks,
+    });
+  }
+
+  #updateReachesNone(withTargets: ReadonlySet<string>, now: number): void {
+    const { clock, events, peersServing, onChange } = this.#options;
+    const unreachable = [...withTargets].filter(
+      (name) => this.#domains.get(name)?.unreachableSince !== undefined,
+    );
+    const sufficient = Math.min(withTargets.size, SUFFICIENT_DOMAINS);
+    const isSilent = now - this.#lastHeardAt >= ANSWER_TTL_MILLISECONDS;
+    const reachesNone = unreachable.length > 0 && unreachable.length >= sufficient && isSilent;
+    if (reachesNone === this.reachesNone) {
+      return;
+    }
+    const since = this.#noneSince ?? this.#lastHeardAt;
+    this.#noneSince = reachesNone ? clock.now() : undefined;
+    events.write({
+      event: 'reachability',
+      reachesNone,
+      milliseconds: roundFinite(now - since),
+      unreachable,
+      failureDomains: withTargets.size,
+      peersServing: peersServing(),
+    });
+    onChange();
+  }
+
+  #domain(name: string): DomainReachability {
+    const known = this.#domains.get(name);
+    if (known !== undefined) {
+      return known;
+    }
+    const created = new DomainReachability();
+    this.#domains.set(name, created);
+    return created;
+  }
+}
+
+/** Rounds a duration; one since a time that never was is 0, as JSON has no infinity. */
+function roundFinite(milliseconds: number): number {
+  return Number.isFinite(milliseconds) ? Math.round(milliseconds) : 0;
+}
--- a/packages/entry/src/request/request-forwarder.ts
+++ b/packages/entry/src/request/request-forwarder.ts
@@ -18,6 +18,7 @@
 import { describeVerdict } from './describe-verdict.js';
 import type { HeaderCodec } from './header-codec.js';
 import type { EventLog } from '../events.js';
+import type { TargetReachability } from '../reachability/target-reachability.js';
 import type { SuspectController } from '../suspects/suspect-controller.js';
 import type { TargetCrashDetector } from '../suspects/target-crash-detector.js';
 import {
@@ -54,6 +55,7 @@
   readonly client: TargetClient;
   readonly crashDetector: TargetCrashDetector;
   readonly suspects: SuspectController;
+  readonly reachability: TargetReachability;
   readonly signalRecorder: TargetSignalRecorder;
   readonly limits: TargetLimits;
   readonly codec: HeaderCodec;
--- a/packages/entry/src/request/response-writer.ts
+++ b/packages/entry/src/request/response-writer.ts
@@ -2,6 +2,7 @@
 import type { Clock, Random } from '@ferrylock/utils';
 import type { EntryEvent, EventLog } from '../events.js';
 import type { FleetView } from '../fleet/fleet-view.js';
+import type { TargetReachability } from '../reachability/target-reachability.js';
 import type { RoutingState } from '../routing/routing-state.js';
 import type { ViewExchange } from '../peers/view-exchange.js';
 import type { CallerExchange, RoutedExchange } from './caller-exchange.js';
@@ -24,6 +25,7 @@
   readonly view: FleetView;
   readonly state: Pick<RoutingState, 'active'>;
   readonly viewExchange: Pick<ViewExchange, 'calls' | 'failedCalls'>;
+  readonly reachability: Pick<TargetReachability, 'unreachableMilliseconds'>;
   readonly codec: HeaderCodec;
   readonly metrics: RequestMetrics;
 }
@@ -118,10 +120,19 @@
       attempts,
       milliseconds: Math.round(milliseconds),
       beliefAgeMilliseconds: Math.round(clock.now() - view.confirmedAt),
+      ...this.#unreachable(),
       ...(isByConfiguration(refusal) ? this.#knowledge() : {}),
     });
   }
 
+  /** How long failure domains have been unreachable. */
+  #unreachable(): { readonly unreachableMilliseconds?: number } {
+    const { unreachableMilliseconds } = this.#options.reachability;
+    return unreachableMilliseconds === undefined
+      ? {}
+      : { unreachableMilliseconds: Math.round(unreachableMilliseconds) };
+  }
+
   /** What this host knew when it applied its configuration to a request. */
   #knowledge(): Pick<Extract<EntryEvent, { event: 'refused' }>, 'knowledge'> {
     const { clock, state, view, viewExchange } = this.#options;
--- a/packages/entry/src/request/target-send.ts
+++ b/packages/entry/src/request/target-send.ts
@@ -1,6 +1,7 @@
 import type { ServiceTargets, TargetLimits, TargetState } from '@ferrylock/routing';
 import type { Clock } from '@ferrylock/utils';
 import type { EventLog } from '../events.js';
+import type { TargetReachability } from '../reachability/target-reachability.js';
 import type { SuspectController } from '../suspects/suspect-controller.js';
 import type { TargetCrashDetector } from '../suspects/target-crash-detector.js';
 import type { RoutedExchange } from './caller-exchange.js';
@@ -59,6 +60,10 @@
   readonly client: TargetClient;
   readonly crashDetector: TargetCrashDetector;
   readonly suspects: SuspectController;
+  readonly reachability: Pick<
+    TargetReachability,
+    'recordSend' | 'recordAnswer' | 'recordEnd' | 'recordConnectFailure'
+  >;
   readonly signalRecorder: TargetSignalRecorder;
   readonly limits: Pick<TargetLimits, 'tryAcquire' | 'release'>;
   readonly codec: HeaderCodec;
@@ -89,6 +94,7 @@
     this.#holdsPermit = target.signals.limit.perSecond !== undefined;
     this.#loadPerSlot = target.load(this.sentAt) / target.record.slots;
     target.inFlight++;
+    options.reachability.recordSend(target);
     this.#send = options.client.send({
       address: target.record.address,
       method: options.exchange.request.method ?? 'GET',
@@ -159,6 +165,7 @@
   #checkHead(status: number, headers: TargetResponse['headers']): Error | undefined {
     const { codec, exchange, signalRecorder, service, target } = this.#options;
     const metadata = codec.decodeResponse(status, headers);
+    this.#options.reachability.recordAnswer(target);
     this.#metadata = metadata;
     if (metadata.isOtherTarget) {
       return undefined;
@@ -173,10 +180,11 @@
   }
 
   async #judge(): Promise<SendVerdict> {
-    const { clock, exchange, target, service } = this.#options;
+    const { clock, exchange, target, service, reachability } = this.#options;
     const outcome = await this.#send.outcome;
     this.#clearCancelTimer?.();
     target.inFlight--;
+    reachability.recordEnd(target);
     const now = clock.now();
     if (outcome.kind !== 'answered') {
       return this.#judgeFailure(outcome.kind === 'not-sent', outcome.error);
@@ -239,6 +247,7 @@
       return { kind: 'not-run', reason, detail: error.message };
     }
     if (isUnsent) {
+      this.#options.reachability.recordConnectFailure(target);
       this.#eject(error.message);
       return { kind: 'not-run', reason: 'connect-failed', detail: error.message };
     }
--- a/packages/entry/src/routing/routing-state.ts
+++ b/packages/entry/src/routing/routing-state.ts
@@ -126,6 +126,11 @@
     return target?.incarnationId === name ? target : undefined;
   }
 
+  /** Failure domain of the target at an address; undefined if none is known there. */
+  failureDomainOf(address: string): string | undefined {
+    return this.#locationOfAddress.get(address)?.failureDomain;
+  }
+
   /** Records the time that establishing a connection to a target took. */
   recordConnectTime(address: string, milliseconds: number): void {
     const location = this.#locationOfAddress.get(address);
--- a/packages/entry/tests/fixtures.ts
+++ b/packages/entry/tests/fixtures.ts
@@ -10,6 +10,7 @@
 import { AccountLimitController } from '../src/accounts/account-limit-controller.js';
 import { TargetLimitController } from '../src/limits/target-limit-controller.js';
 import type { RoutedExchange } from '../src/request/caller-exchange.js';
+import { TargetReachability } from '../src/reachability/target-reachability.js';
 import { SuspectController } from '../src/suspects/suspect-controller.js';
 import { RoutingState } from '../src/routing/routing-state.js';
 
@@ -130,6 +131,19 @@
   });
 }
 
+/** Makes the reachability of targets that are all reached. */
+export function makeReachability(clock: Clock, events: EventLog): TargetReachability {
+  return new TargetReachability({
+    clock,
+    random: new SeededRandom(1),
+    events,
+    services: () => [],
+    checkConnection: () => Promise.resolve('taken'),
+    peersServing: () => 0,
+    onChange: () => undefined,
+  });
+}
+
 /** Makes an event log that records its events. */
 export function captureEvents(): { log: EventLog; events: EntryEvent[] } {
   const events: EntryEvent[] = [];
--- a/packages/entry/tests/suspects/check-connection.test.ts
+++ b/packages/entry/tests/reachability/check-connection.test.ts
@@ -1,7 +1,7 @@
 import { createServer } from 'node:net';
 import type { AddressInfo, Server } from 'node:net';
 import { describe, expect, it } from 'vitest';
-import { checkConnection } from '../../src/suspects/check-connection.js';
+import { checkConnection } from '../../src/reachability/check-connection.js';
 
 async function listen(): Promise<{ server: Server; address: string }> {
   const server = createServer();
--- a/packages/entry/tests/request/response-writer.test.ts
+++ b/packages/entry/tests/request/response-writer.test.ts
@@ -33,6 +33,7 @@
       decodeResponse: unused,
       localReplyHeaders: () => ({}),
     },
+    reachability: { unreachableMilliseconds: 1_200.4 },
     metrics: new RequestMetrics(),
   });
   const { route, version, ...unrouted } = makeExchange();
@@ -42,6 +43,7 @@
     event: 'refused',
     version: 7,
     beliefAgeMilliseconds: 100,
+    unreachableMilliseconds: 1_200,
     knowledge: {
       versionAgeMilliseconds: 400,
       revision: 6,
--- a/packages/entry/tests/request/target-send.test.ts
+++ b/packages/entry/tests/request/target-send.test.ts
@@ -15,6 +15,7 @@
 import { SendCancelled } from '../../src/request/target-client.js';
 import { TargetSend } from '../../src/request/target-send.js';
 import type { TargetSendOptions } from '../../src/request/target-send.js';
+import { makeReachability } from '../fixtures.js';
 
 /**
  * Guards against losing the signals of remote targets when callers disconnect before a response.
@@ -135,6 +136,7 @@
       },
     },
     codec: dialect,
+    reachability: makeReachability(clock, events),
     service,
     target,
     exchange: exchange as unknown as RoutedExchange,
--- a/packages/entry/tests/suspects/target-crash-detector.test.ts
+++ b/packages/entry/tests/suspects/target-crash-detector.test.ts
@@ -2,7 +2,7 @@
 import { describe, expect, it } from 'vitest';
 import { FleetView } from '../../src/index.js';
 import type { EntryEvent } from '../../src/index.js';
-import type { ConnectionCheck } from '../../src/suspects/check-connection.js';
+import type { ConnectionCheck } from '../../src/reachability/check-connection.js';
 import type { TargetCrash } from '../../src/suspects/target-crash-detector.js';
 import { TargetCrashDetector } from '../../src/suspects/target-crash-detector.js';
 import { captureEvents, makeExchange, makeRoutingState, targetChange } from '../fixtures.js';
--- a/packages/test-utils/src/entry-fleet.ts
+++ b/packages/test-utils/src/entry-fleet.ts
@@ -253,6 +253,7 @@
       store,
       peerCalls: this.network.callsOf(record),
       createTransport: (onMessage) => this.network.createTransport(record, onMessage),
+      checkConnection: () => Promise.resolve('taken'),
       onSweep: () => undefined,
       utilization: () => 0.05,
     });
