test: hosts that reach no target, on real sockets and in an emulated fleet

Real entry hosts on loopback with ways of their own to six targets, four faults (open connections silent and new ones hang; reset; only new ones hang, with no idle connection left; answers lost): each call at a cut host ends in 503 or 504 until the test gives up after 20 s, all four hosts go on naming it, and while no host reaches a target refusals take three connection timeouts.

EntryHost takes the address to dial for a target (option dial; hosts use the record's address without it), for targets that a host reaches through something else; the tests' proxies are such. A process that is stopped with a full queue of new connections makes attempts hang, as behind a cut.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -20,12 +20,14 @@
 import type { HeaderCodec } from './request/header-codec.js';
 import { RequestForwarder } from './request/request-forwarder.js';
 import { RequestMetrics } from './request/request-metrics.js';
+import type { Dial } from './request/target-client.js';
 import { TargetClient } from './request/target-client.js';
 import { TargetSignalRecorder } from './request/target-signal-recorder.js';
 import { limitedTargets } from './routing/limited-targets.js';
 import { restingTargets } from './routing/resting-targets.js';
 import type { RoutingState } from './routing/routing-state.js';
 import { EventLoopDelay } from './event-loop-delay.js';
+import type { CheckConnection } from './reachability/check-connection.js';
 import { checkConnection } from './reachability/check-connection.js';
 import { TargetCrashDetector } from './suspects/target-crash-detector.js';
 import { ControlServer } from './servers/control-server.js';
@@ -46,6 +48,8 @@
   readonly events: EventLog;
   readonly store: FleetStore;
   readonly codec: HeaderCodec;
+  /** Absent if this host connects to targets at the addresses in their records. */
+  readonly dial?: Dial;
 }
 
 /** An entry host: forwards callers' requests, serves the directory and takes part in the fleet. */
@@ -67,14 +71,15 @@
 
   constructor(options: EntryHostOptions) {
     this.#options = options;
-    const { settings, clock, events } = options;
+    const { settings, clock, events, dial } = options;
+    const checkTarget: CheckConnection = (address) => checkConnection(dial?.(address) ?? address);
     this.#tasks = new BackgroundTasks(events.logger);
     const eventLoopDelay = new EventLoopDelay(clock);
     this.#member = new FleetMember({
       ...options,
       peerCalls: new PeerClient(),
       createTransport: (onMessage) => new UdpTransport(events, onMessage),
-      checkConnection,
+      checkConnection: checkTarget,
       onSweep: (lateMilliseconds) => {
         this.#utilizationMeter.sample();
         eventLoopDelay.record(lateMilliseconds);
@@ -85,6 +90,7 @@
     const { view, state, peers, accounts, limits, suspects, reachability } = this.#member;
     this.#client = new TargetClient({
       clock,
+      dial,
       onConnected: (address, milliseconds) => {
         state.recordConnectTime(address, milliseconds);
         const failureDomain = state.failureDomainOf(address);
@@ -96,7 +102,7 @@
     this.#crashDetector = new TargetCrashDetector({
       clock,
       events,
-      checkConnection,
+      checkConnection: checkTarget,
       onCrash: (crash) => {
         suspects.recordCrash(crash);
       },
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -38,6 +38,7 @@
 export { TargetReachability } from './reachability/target-reachability.js';
 export type { TargetReachabilityOptions } from './reachability/target-reachability.js';
 export { headerValues, parseDecimalHeader } from './request/decimal-header.js';
+export type { Dial } from './request/target-client.js';
 export { parseRetryAfter } from './request/retry-after.js';
 export { forwardableHeaders } from './request/forwardable-headers.js';
 export { encodeSuspects, suspectsSchema } from './peers/suspect-rows.js';
--- a/packages/entry/src/request/target-client.ts
+++ b/packages/entry/src/request/target-client.ts
@@ -2,6 +2,7 @@
 import type { buildConnector as BuildConnector } from 'undici';
 import { Agent, buildConnector } from 'undici';
 import type { Clock } from '@ferrylock/utils';
+import { splitAddress } from '../address.js';
 
 /** Keep-alive timeout for targets that do not advertise one. */
 const KEEP_ALIVE_MILLISECONDS = 4_000;
@@ -67,8 +68,13 @@
   cancel(): void;
 }
 
+/** Maps the address in a target's record to the one that this host connects to. */
+export type Dial = (address: string) => string;
+
 export interface TargetClientOptions {
   readonly clock: Clock;
+  /** Absent if hosts connect to the addresses in the records. */
+  readonly dial?: Dial | undefined;
   /** Called with the time that establishing a connection to an address took. */
   readonly onConnected: (address: string, milliseconds: number) => void;
 }
@@ -194,11 +200,13 @@
   #connector(): BuildConnector.connector {
     const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MILLISECONDS });
     return (options, callback) => {
-      const { clock, onConnected } = this.#options;
+      const { clock, dial, onConnected } = this.#options;
       const startedAt = clock.now();
-      connect(options, (...result) => {
+      const address = `${options.hostname}:${options.port}`;
+      const { host: hostname, port } = splitAddress(dial?.(address) ?? address);
+      connect({ ...options, hostname, port: String(port) }, (...result) => {
         if (result[1] !== null) {
-          onConnected(`${options.hostname}:${options.port}`, clock.now() - startedAt);
+          onConnected(address, clock.now() - startedAt);
         }
         result[1]?.prependListener('error', () => {
           this.#isReset = true;
--- a/packages/test-utils/src/entry-fleet.ts
+++ b/packages/test-utils/src/entry-fleet.ts
@@ -1,5 +1,10 @@
 import { EventLog, eventSchema, FleetMember } from '@ferrylock/entry';
-import type { EntryEvent, EntryHostRecord, EntryHostSettings } from '@ferrylock/entry';
+import type {
+  ConnectionCheck,
+  EntryEvent,
+  EntryHostRecord,
+  EntryHostSettings,
+} from '@ferrylock/entry';
 import type {
   ClientAccount,
   DisabledMechanisms,
@@ -22,6 +27,9 @@
 const LARGE_CAPACITY = 1.35;
 const SMALL_CAPACITY = 0.27;
 const MILLISECONDS_PER_SECOND = 1_000;
+const TIMEOUT_MILLISECONDS = 3_000;
+const CONNECT_TIMEOUT_MILLISECONDS = 300;
+const ROUND_TRIP_MILLISECONDS = 1;
 
 export interface EntryFleetOptions {
   readonly clock: Clock;
@@ -71,11 +79,15 @@
   readonly network: EmulatedNetwork;
   /** Requests that found no target. */
   refused = 0;
+  /** The same, by the host's name. */
+  readonly refusedAt = new Map<string, number>();
   /** Requests that were sent, by the target's id. */
   readonly sent = new Map<string, number>();
   readonly #options: EntryFleetOptions;
   readonly #random: Random;
   readonly #waysToStore = new Map<string, WayToStore>();
+  /** Names of hosts whose ways to targets are cut. */
+  readonly #cutFromTargets = new Set<string>();
   #starts = 0;
   readonly #regions: Readonly<Record<string, string>>;
 
@@ -160,7 +172,7 @@
     );
     const route = this.routes.find(({ shares }) => shares[0]?.service === service?.name);
     if (service === undefined || route === undefined) {
-      this.refused++;
+      this.#refuse(record.name);
       return;
     }
     service.requestRate.record();
@@ -174,17 +186,34 @@
       coldSenders: member.hostNames,
     });
     if (target === undefined) {
-      this.refused++;
+      this.#refuse(record.name);
       return;
     }
     this.sent.set(target.id, (this.sent.get(target.id) ?? 0) + 1);
-    this.#work(target, workMilliseconds);
+    this.#work(member, record.name, target, workMilliseconds);
+  }
+
+  #refuse(host: string): void {
+    this.refused++;
+    this.refusedAt.set(host, (this.refusedAt.get(host) ?? 0) + 1);
   }
 
-  #work(target: TargetState, milliseconds: number): void {
+  /** A request that does not reach its target, or whose answer is lost, stays in flight to the end of its time. */
+  #work(
+    { reachability }: FleetMember,
+    host: string,
+    target: TargetState,
+    workMilliseconds: number,
+  ): void {
+    const isLost = this.#cutFromTargets.has(host);
     target.inFlight++;
-    this.#options.clock.after(milliseconds, () => {
+    reachability.recordSend(target);
+    this.#options.clock.after(isLost ? TIMEOUT_MILLISECONDS : workMilliseconds, () => {
       target.inFlight--;
+      reachability.recordEnd(target);
+      if (!isLost && !this.#cutFromTargets.has(host)) {
+        reachability.recordAnswer(target);
+      }
     });
   }
 
@@ -211,6 +240,16 @@
     this.#startHost(index);
   }
 
+  /** Cuts the host at a place off from all targets, or ends that: connection attempts and answers are lost. */
+  setTargetsCut(index: number, isCut: boolean): void {
+    const { name } = this.#hostAt(index).record;
+    if (isCut) {
+      this.#cutFromTargets.add(name);
+    } else {
+      this.#cutFromTargets.delete(name);
+    }
+  }
+
   /** Cuts the host at a place off from the store, or ends that. */
   setStoreCut(index: number, isCut: boolean): void {
     const way = this.#waysToStore.get(this.#hostAt(index).record.name);
@@ -253,7 +292,7 @@
       store,
       peerCalls: this.network.callsOf(record),
       createTransport: (onMessage) => this.network.createTransport(record, onMessage),
-      checkConnection: () => Promise.resolve('taken'),
+      checkConnection: () => this.#checkConnection(record.name),
       onSweep: () => undefined,
       utilization: () => 0.05,
     });
@@ -264,6 +303,12 @@
     });
   }
 
+  async #checkConnection(host: string): Promise<ConnectionCheck> {
+    const isCut = this.#cutFromTargets.has(host);
+    await this.#options.clock.sleep(isCut ? CONNECT_TIMEOUT_MILLISECONDS : ROUND_TRIP_MILLISECONDS);
+    return isCut ? 'unknown' : 'taken';
+  }
+
   /** A host that starts again takes the place of its former self. */
   #putHost(host: EntryFleetHost): void {
     const former = this.hosts.findIndex(({ record }) => record.name === host.record.name);
@@ -314,7 +359,7 @@
           name: `route-${index}`,
           host: `${service}.example`,
           shares: [{ service, weight: 1 }],
-          timeoutMilliseconds: 3_000,
+          timeoutMilliseconds: TIMEOUT_MILLISECONDS,
           targetLatencyMilliseconds: 1_000,
         }),
       ),
