fix(entry): hosts that reach no target say so, and no directory names them

Cause: a status says only whether a host is leaving; Directory and PeerTable know no host that lives, is heard and serves nobody.

Change: a status says that its host reaches no target (a third value of the field on leaving, so no byte more, and older hosts read it as serving); relays pass the change on at once, and list such hosts in the fleet digest apart from absent ones, since they are alive: relays, shares of limits and the host list do not move. Directories leave them out, the host's own too; where no host reaches a target all are named, since each tells callers at once when to return.

The case of 65 hosts was wrong: its second host had no callers, and such a host cannot know. It now cuts two that have callers, as strict, and a new test covers the other: known within 2 s of its first callers. Ruled out: listing them as absent, which would make them dead to the other hosts of their failure domain.

--- a/packages/entry/src/directory.ts
+++ b/packages/entry/src/directory.ts
@@ -32,6 +32,8 @@
   readonly peers: PeerTable;
   /** This host while it accepts callers. */
   readonly own: () => DirectoryHost | undefined;
+  /** Whether this host reaches no target. */
+  readonly reachesNone: () => boolean;
   readonly maxTtlMilliseconds: number;
 }
 
@@ -75,15 +77,36 @@
     return hosts;
   }
 
-  #hosts(): DirectoryHost[] {
-    const { view, peers, own } = this.#options;
+  /**
+   * Hosts that accept callers; those that reach no target only if there are no others, since these
+   * tell callers at once when to return.
+   */
+  #hosts(): readonly DirectoryHost[] {
+    const { peers, own, reachesNone } = this.#options;
     const self = own();
-    const others = view.records('entryHost').flatMap(({ host }) => {
-      const isOther = host.name !== self?.host.name && peers.isServing(host);
+    const serving = this.#others(self, (host) => peers.isServing(host));
+    if (self === undefined) {
+      return serving.length > 0
+        ? serving
+        : this.#others(self, (host) => peers.isReachingNone(host));
+    }
+    if (!reachesNone()) {
+      return [self, ...serving];
+    }
+    return serving.length > 0
+      ? serving
+      : [self, ...this.#others(self, (host) => peers.isReachingNone(host))];
+  }
+
+  #others(
+    self: DirectoryHost | undefined,
+    isIncluded: (host: EntryHostRecord) => boolean,
+  ): DirectoryHost[] {
+    const { view, peers } = this.#options;
+    return view.records('entryHost').flatMap(({ host }) => {
       const utilization = peers.get(host.name)?.utilization ?? 0;
-      return isOther ? [{ host, utilization }] : [];
+      return host.name !== self?.host.name && isIncluded(host) ? [{ host, utilization }] : [];
     });
-    return self === undefined ? others : [self, ...others];
   }
 
   /** Busy cores by the summaries of relays, or else by the reports of the hosts. */
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -120,6 +120,7 @@
         this.#member.isLeaving || this.#record === undefined
           ? undefined
           : { host: this.#record, utilization: this.#utilizationMeter.utilization },
+      reachesNone: () => reachability.reachesNone,
       maxTtlMilliseconds: settings.maxDirectoryTtlMilliseconds,
     });
     const forwarder = new RequestForwarder({
--- a/packages/entry/src/fleet-member.ts
+++ b/packages/entry/src/fleet-member.ts
@@ -117,7 +117,9 @@
       ...options,
       services: () => this.state.services,
       peersServing: () => this.#hosts.filter((host) => this.peers.isServing(host)).length,
-      onChange: () => undefined,
+      onChange: () => {
+        this.#exchange.triggerRound();
+      },
     });
     this.#loads = new PeerLoads(clock, this.state);
     this.accounts = new AccountLimitController({
@@ -170,6 +172,7 @@
       limits: this.limits,
       suspects: this.suspects,
       isLeaving: () => this.#isLeaving,
+      reachesNone: () => this.reachability.reachesNone,
       asked: () => this.#placement.ownDemand,
     });
     const watcherSelection = new WatcherSelection({
--- a/packages/entry/src/peers/fleet-summary.ts
+++ b/packages/entry/src/peers/fleet-summary.ts
@@ -22,6 +22,8 @@
 export interface FleetSummary {
   /** Hosts that timed out or are leaving, by {@link incarnationKey}. */
   readonly absent: ReadonlySet<string>;
+  /** Live hosts that reach no target, by {@link incarnationKey}. */
+  readonly reachingNone: ReadonlySet<string>;
   readonly regions: ReadonlyMap<string, RegionSummary>;
 }
 
@@ -37,6 +39,10 @@
   return absent.size > 0 && absent.has(incarnationKey(host));
 }
 
+export function isReachingNone({ reachingNone }: FleetSummary, host: EntryHostRecord): boolean {
+  return reachingNone.size > 0 && reachingNone.has(incarnationKey(host));
+}
+
 /** Regions as rows: name, busy cores, then services and their rates. */
 export const regionSummariesSchema = z.string().transform((text, context) => {
   const regions = new Map<string, RegionSummary>();
--- a/packages/entry/src/peers/host-status.ts
+++ b/packages/entry/src/peers/host-status.ts
@@ -8,8 +8,10 @@
 const MAX_STATUS_RATES = 16;
 /** Rates in statuses that are shortened. */
 const SHORTER_STATUS_RATES = { few: 2, none: 0 } as const;
+/** Values of the field on whether a host accepts callers; a leaving host needs no other. */
 const LEAVING = '1';
-const STAYING = '0';
+const REACHES_NONE = '2';
+const SERVING = '0';
 
 /** Status that one incarnation of an entry host reports. */
 export interface HostStatus {
@@ -20,6 +22,8 @@
   readonly sequence: number;
   /** Accepts no new callers. */
   readonly leaving: boolean;
+  /** Reaches no target, and serves callers only by way of other hosts. */
+  readonly reachesNone: boolean;
   /** Fraction of time spent busy, from 0 to 1. */
   readonly utilization: number;
   /** Demand of its callers by service; zero rates are omitted. */
@@ -43,24 +47,32 @@
 /** The form that {@link hostStatusesSchema} reads. */
 export function encodeStatuses(statuses: readonly HostStatus[]): string {
   return encodeRows(
-    statuses.map(({ name, incarnation, sequence, leaving, utilization, asked }) => [
+    statuses.map(({ name, incarnation, sequence, leaving, reachesNone, utilization, asked }) => [
       name,
       incarnation,
       sequence,
-      leaving ? LEAVING : STAYING,
+      standing(leaving, reachesNone),
       Math.round(utilization * PERCENT),
       ...rateFields(mainRates(asked, MAX_STATUS_RATES)),
     ]),
   );
 }
 
+function standing(leaving: boolean, reachesNone: boolean): string {
+  if (leaving) {
+    return LEAVING;
+  }
+  return reachesNone ? REACHES_NONE : SERVING;
+}
+
 function toStatus([name = '', incarnation = '', ...rest]: readonly string[]): HostStatus {
-  const [sequence, leaving, utilizationPercent, ...rates] = rest;
+  const [sequence, standingField, utilizationPercent, ...rates] = rest;
   return {
     name,
     incarnation,
     sequence: Number.parseInt(sequence ?? '', 10),
-    leaving: leaving === LEAVING,
+    leaving: standingField === LEAVING,
+    reachesNone: standingField === REACHES_NONE,
     utilization: Number.parseInt(utilizationPercent ?? '', 10) / PERCENT,
     asked: parseRates(rates),
   };
--- a/packages/entry/src/peers/message-sections.ts
+++ b/packages/entry/src/peers/message-sections.ts
@@ -10,6 +10,7 @@
 export const MAX_SECTION_BYTES = {
   statuses: 12_000,
   absent: 8_000,
+  reachingNone: 8_000,
   regions: 6_000,
   counted: 2_500,
   inFlight: 24_000,
--- a/packages/entry/src/peers/message-writer.ts
+++ b/packages/entry/src/peers/message-writer.ts
@@ -49,6 +49,8 @@
   readonly confirmations: StoreConfirmations;
   readonly own: EntryHostRecord;
   readonly isLeaving: () => boolean;
+  /** Whether this host reaches no target. */
+  readonly reachesNone: () => boolean;
   /** Fraction of time that this host is busy, from 0 to 1. */
   readonly utilization: () => number;
   /** Demand of this host's callers. */
@@ -142,6 +144,7 @@
     const regions = this.#regionSummaries();
     const content = {
       absent: sections.fit('absent', encodeIncarnationKeys(this.#absentHosts())),
+      ...this.#reachingNone(sections),
       regions: sections.fit('regions', encodeRegionSummaries(regions), () =>
         encodeRegionSummaries(withMainRates(regions)),
       ),
@@ -180,15 +183,33 @@
     );
   }
 
-  /** Registered hosts that are not reported to serve; those of this region first. */
+  /** Registered hosts that are dead or leaving. */
   #absentHosts(): string[] {
-    const { view, peers, own, isLeaving } = this.#options;
-    const isServing = (host: EntryHostRecord): boolean =>
-      host.name === own.name ? !isLeaving() : peers.isDirectlyServing(host);
+    const { peers, own, isLeaving } = this.#options;
+    const isPresent = (host: EntryHostRecord): boolean =>
+      host.name === own.name
+        ? !isLeaving()
+        : peers.isDirectlyServing(host) || peers.isReachingNone(host);
+    return this.#hostKeys((host) => !isPresent(host));
+  }
+
+  /** Hosts that reach no target; empty if there is none, as nearly always. */
+  #reachingNone(sections: MessageSections): Record<string, unknown> {
+    const { peers, own, isLeaving, reachesNone } = this.#options;
+    const keys = this.#hostKeys((host) =>
+      host.name === own.name ? reachesNone() && !isLeaving() : peers.isReachingNone(host),
+    );
+    const reachingNone = sections.fit('reachingNone', encodeIncarnationKeys(keys));
+    return reachingNone === '' ? {} : { reachingNone };
+  }
+
+  /** Keys of registered hosts; those of this region first. */
+  #hostKeys(isIncluded: (host: EntryHostRecord) => boolean): string[] {
+    const { view, own } = this.#options;
+    const hosts = view.records('entryHost').flatMap(({ host }) => (isIncluded(host) ? [host] : []));
     const isOwnRegion = ({ region }: EntryHostRecord): boolean => region === own.region;
-    const absent = view.records('entryHost').flatMap(({ host }) => (isServing(host) ? [] : [host]));
-    const others = absent.filter((host) => !isOwnRegion(host));
-    return [...absent.filter(isOwnRegion), ...others].map(incarnationKey);
+    const others = hosts.filter((host) => !isOwnRegion(host));
+    return [...hosts.filter(isOwnRegion), ...others].map(incarnationKey);
   }
 
   /** Busy cores and demand of each region. */
@@ -260,13 +281,14 @@
   }
 
   #ownStatus(): HostStatus {
-    const { own, isLeaving, utilization, asked } = this.#options;
+    const { own, isLeaving, reachesNone, utilization, asked } = this.#options;
     const { name, incarnation } = own;
     return {
       name,
       incarnation,
       sequence: this.#sequence,
       leaving: isLeaving(),
+      reachesNone: reachesNone(),
       utilization: utilization(),
       asked: asked(),
     };
--- a/packages/entry/src/peers/peer-exchange.ts
+++ b/packages/entry/src/peers/peer-exchange.ts
@@ -31,6 +31,8 @@
 /** Minimum interval between rounds, including triggered ones. */
 const MIN_ROUND_INTERVAL_MILLISECONDS = 40;
 
+const NO_HOSTS: ReadonlySet<string> = new Set();
+
 export interface PeerExchangeOptions extends Omit<
   MessageWriterOptions,
   'confirmations' | 'own' | 'onOmittedRows'
@@ -204,8 +206,8 @@
 
   #handleFleetDigest(digest: FleetDigest): void {
     const { peers, loads, accounts, limits } = this.#options;
-    const { from, absent, regions, counted, inFlight } = digest;
-    peers.updateFromFleet(from, { absent, regions });
+    const { from, absent, reachingNone = NO_HOSTS, regions, counted, inFlight } = digest;
+    peers.updateFromFleet(from, { absent, reachingNone, regions });
     const sequence = counted.get(this.#running?.own.name ?? '') ?? 0;
     loads.updateFromFleet(loadSource.fleet, inFlight, sequence);
     accounts.mergeFleetReport(digest.accounts, sequence, digest.remembered);
@@ -222,12 +224,18 @@
     this.#handleCommonFields(from, digest);
   }
 
-  /** Applies a host's status and passes on at once that it is leaving; returns false if stale. */
+  /**
+   * Applies a host's status and passes on at once that it ceases to serve, or serves again; returns
+   * false if the status is stale.
+   */
   #updateStatus(status: HostStatus, from: StatusSource): boolean {
     const { peers } = this.#options;
-    const wasLeaving = peers.get(status.name)?.leaving === true;
+    const former = peers.get(status.name);
     const isNew = peers.update(status, from);
-    if (isNew && status.leaving && !wasLeaving && this.#isRelay) {
+    const isChanged =
+      (status.leaving && former?.leaving !== true) ||
+      status.reachesNone !== (former?.reachesNone ?? false);
+    if (isNew && isChanged && this.#isRelay) {
       this.triggerRound();
     }
     return isNew;
--- a/packages/entry/src/peers/peer-messages.ts
+++ b/packages/entry/src/peers/peer-messages.ts
@@ -106,6 +106,8 @@
 export const fleetDigestSchema = z.object({
   /** Registered hosts that do not serve. */
   absent: incarnationKeysSchema,
+  /** Live hosts that reach no target; absent if there is none. */
+  reachingNone: incarnationKeysSchema.optional(),
   regions: regionSummariesSchema,
   /** Sequence numbers of the reports that the totals include, by host name. */
   counted: reportSequencesSchema,
--- a/packages/entry/src/peers/peer-table.ts
+++ b/packages/entry/src/peers/peer-table.ts
@@ -3,7 +3,7 @@
 import type { EntryHostRecord } from '../fleet/fleet-record.js';
 import type { HostStatus, RequestRates } from './host-status.js';
 import type { FleetSummary, RegionSummary } from './fleet-summary.js';
-import { isAbsent } from './fleet-summary.js';
+import { isAbsent, isReachingNone } from './fleet-summary.js';
 
 /** Time without a new report after which a host counts as dead; covers several lost reports. */
 export const PEER_TIMEOUT_MILLISECONDS = 1_800;
@@ -53,12 +53,16 @@
 
   /** Returns whether a registered host is alive, as far as this host knows. */
   isAlive(host: EntryHostRecord): boolean {
-    return this.#alive.has(host.name) || this.#isInSummary(host);
+    return this.#alive.has(host.name) || this.#findSummaryWith(host) !== undefined;
   }
 
   /** Returns whether this incarnation of a host accepts callers, as far as this host knows. */
   isServing(host: EntryHostRecord): boolean {
-    return this.#alive.has(host.name) ? this.isDirectlyServing(host) : this.#isInSummary(host);
+    if (this.#alive.has(host.name)) {
+      return this.isDirectlyServing(host);
+    }
+    const summary = this.#findSummaryWith(host);
+    return summary !== undefined && !isReachingNone(summary, host);
   }
 
   /**
@@ -67,7 +71,13 @@
    */
   isDirectlyServing(host: EntryHostRecord): boolean {
     const peer = this.#alive.get(host.name);
-    return peer?.incarnation === host.incarnation && !peer.leaving;
+    return peer?.incarnation === host.incarnation && !peer.leaving && !peer.reachesNone;
+  }
+
+  /** Returns whether this incarnation of a host reports that it reaches no target. */
+  isReachingNone(host: EntryHostRecord): boolean {
+    const peer = this.#alive.get(host.name);
+    return peer?.incarnation === host.incarnation && !peer.leaving && peer.reachesNone;
   }
 
   /** Returns a relay's current summary of a region; undefined if there is none, as on relays. */
@@ -127,14 +137,14 @@
     }
   }
 
-  /** Returns whether some fleet summary does not list the host as absent. */
-  #isInSummary(host: EntryHostRecord): boolean {
+  /** Returns a fleet summary that does not list the host as absent. */
+  #findSummaryWith(host: EntryHostRecord): FleetSummary | undefined {
     for (const { fleet } of this.#summaries.values()) {
       if (!isAbsent(fleet, host)) {
-        return true;
+        return fleet;
       }
     }
-    return false;
+    return undefined;
   }
 
   /** A status of another incarnation that is passed on may be stale; the store has the latest. */
--- a/packages/entry/tests/directory.test.ts
+++ b/packages/entry/tests/directory.test.ts
@@ -33,10 +33,11 @@
     ),
   );
   let sequence = 0;
-  const report = (utilization: number, reporting = names): void => {
+  const report = (utilization: number, reporting = names, reachesNone = false): void => {
     sequence++;
+    const status = { incarnation: 'first', leaving: false, reachesNone, asked: {} };
     for (const name of reporting) {
-      peers.update({ name, incarnation: 'first', sequence, leaving: false, utilization }, 'itself');
+      peers.update({ ...status, name, sequence, utilization }, 'itself');
     }
   };
   report(0.1);
@@ -44,6 +45,7 @@
     view,
     peers,
     own: () => undefined,
+    reachesNone: () => false,
     maxTtlMilliseconds: 5_000,
   });
   const listed = (caller = region): string[] => [...directory.answer(caller).trafficAddresses];
@@ -89,6 +91,17 @@
     expect(listed()).toEqual(['large-0', 'large-1', 'large-3']);
   });
 
+  it('omits hosts that reach no target, unless there are no others', () => {
+    const { listed, report, names } = makeFleet({ large: 0, small: 3 });
+    report(0.1, ['small-1'], true);
+    expect(listed()).toEqual(['small-0', 'small-2']);
+    expect(listed('fyn')).toEqual(['small-0', 'small-2']);
+    report(0.1, names, true);
+    expect(listed()).toEqual(names);
+    report(0.1);
+    expect(listed()).toEqual(names);
+  });
+
   it('lists hosts of other regions if the caller’s region has none', () => {
     const { listed } = makeFleet();
     expect(listed('fyn')).toHaveLength(4);
--- a/packages/entry/tests/peers/message-size.test.ts
+++ b/packages/entry/tests/peers/message-size.test.ts
@@ -66,6 +66,7 @@
     incarnation: 'first',
     sequence: 1_000_000,
     leaving: false,
+    reachesNone: false,
     utilization: 1,
     asked: rates,
   };
@@ -95,6 +96,7 @@
     confirmations: new StoreConfirmations(clock),
     own: makeHostRecord({ name: 'host-0', region: 'region-0' }),
     isLeaving: () => false,
+    reachesNone: () => false,
     utilization: () => 1,
     asked: () => rates,
     storeAnsweredAt: () => 0,
--- a/packages/entry/tests/peers/message-writer.test.ts
+++ b/packages/entry/tests/peers/message-writer.test.ts
@@ -29,7 +29,7 @@
     names.map((name) => hostChange(1, { name })),
   );
   const peers = new PeerTable(clock, log, () => 'first');
-  const status = { incarnation: 'first', leaving: false, utilization: 0.2 };
+  const status = { incarnation: 'first', leaving: false, reachesNone: false, utilization: 0.2 };
   peers.update(
     { ...status, name: 'host-2', sequence: 1, asked: { 'verdict-api': 0.25 } },
     'itself',
@@ -45,6 +45,7 @@
     confirmations: new StoreConfirmations(clock),
     own: makeHostRecord({ name: 'host-1' }),
     isLeaving: () => false,
+    reachesNone: () => false,
     utilization: () => 0.1,
     asked: () => ({ 'verdict-api': 0.5 }),
     storeAnsweredAt: () => -Infinity,
@@ -65,9 +66,22 @@
     expect([...makeWriter().digest().absent]).toEqual(['host-3 first']);
   });
 
+  it('lists live hosts that reach no target, and not as absent ones', () => {
+    const { peers, digest } = makeWriter();
+    expect(digest().reachingNone).toBeUndefined();
+    const status = { incarnation: 'first', leaving: false, reachesNone: true, utilization: 0.2 };
+    peers.update({ ...status, name: 'host-2', sequence: 2, asked: {} }, 'itself');
+    expect([...digest().absent]).toEqual(['host-3 first']);
+    expect([...(digest().reachingNone ?? [])]).toEqual(['host-2 first']);
+  });
+
   it('does not depend on fleet summaries of other relays', () => {
     const { peers, digest } = makeWriter();
-    peers.updateFromFleet('another relay', { absent: new Set(), regions: new Map() });
+    peers.updateFromFleet('another relay', {
+      absent: new Set(),
+      reachingNone: new Set(),
+      regions: new Map(),
+    });
     expect(peers.isServing(makeHostRecord({ name: 'host-3' }))).toBe(true);
     expect([...digest().absent]).toEqual(['host-3 first']);
   });
--- a/packages/entry/tests/peers/peer-exchange.test.ts
+++ b/packages/entry/tests/peers/peer-exchange.test.ts
@@ -45,6 +45,7 @@
     viewExchange,
     storeAnsweredAt,
     isLeaving: () => false,
+    reachesNone: () => false,
     utilization: () => 0,
     asked: () => ({}),
     createTransport: (onMessage) => new UdpTransport(log, onMessage),
--- a/packages/entry/tests/peers/peer-table.test.ts
+++ b/packages/entry/tests/peers/peer-table.test.ts
@@ -10,6 +10,7 @@
     incarnation: 'first',
     sequence: 1,
     leaving: false,
+    reachesNone: false,
     utilization: 0,
     asked: {},
     ...changes,
@@ -74,6 +75,7 @@
     ['the same incarnation', {}, true],
     ['another incarnation', { incarnation: 'second' }, false],
     ['a leaving host', { leaving: true }, false],
+    ['a host that reaches no target', { reachesNone: true }, false],
     ['another host', { name: 'host-2' }, false],
   ])('checks whether a host is serving by reports of %s: %o', (_case, changes, expected) => {
     const { table } = makeTable();
--- a/packages/entry/tests/peers/relay-plan.test.ts
+++ b/packages/entry/tests/peers/relay-plan.test.ts
@@ -49,7 +49,15 @@
     for (const { name, incarnation } of records.filter((host) => isReporting(host.name))) {
       const sequence = (peers.get(name)?.sequence ?? 0) + 1;
       peers.update(
-        { name, incarnation, sequence, leaving: false, utilization: 0, asked: {} },
+        {
+          name,
+          incarnation,
+          sequence,
+          leaving: false,
+          reachesNone: false,
+          utilization: 0,
+          asked: {},
+        },
         'itself',
       );
     }
--- a/packages/entry/tests/reachability/unreachable-fleet.test.ts
+++ b/packages/entry/tests/reachability/unreachable-fleet.test.ts
@@ -52,7 +52,7 @@
     ['one of 12', 12, 2, [3]],
     ['two of one failure domain of 12', 12, 2, [1, 7]],
     ['all but one of 12', 12, 2, [0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10]],
-    ['two of 65', 65, 3, [0, 17]],
+    ['two of 65', 65, 3, [0, 11]],
   ])(
     'names them nowhere within two seconds, and again within two: %s',
     async (_case, hosts, largeHostsPerDomain, cut) => {
@@ -61,15 +61,17 @@
         largeHostsPerDomain,
         perSecond: 10 * hosts,
       });
-      const names = cut.map((index) => fleet.hosts[index]?.record.name ?? '');
+      const withCallers = fleet.hosts.filter(({ record }) => record.capacity > 1);
+      const chosen = cut.map((place) => fleet.hosts.findIndex((one) => one === withCallers[place]));
+      const names = chosen.map((index) => fleet.hosts[index]?.record.name ?? '');
       const naming = (): number[] => names.map((name) => countNaming(fleet, name));
       expect(naming()).toEqual(names.map(() => hosts - 1));
-      for (const index of cut) {
+      for (const index of chosen) {
         fleet.setTargetsCut(index, true);
       }
       await clock.advance(KNOWN_MILLISECONDS);
       expect(naming()).toEqual(names.map(() => 0));
-      for (const index of cut) {
+      for (const index of chosen) {
         fleet.setTargetsCut(index, false);
       }
       await clock.advance(KNOWN_MILLISECONDS);
@@ -77,6 +79,18 @@
     },
   );
 
+  it('learns it of a host without callers when the first come', async () => {
+    const { clock, fleet } = await makeFleet({ hosts: 65, largeHostsPerDomain: 3, perSecond: 650 });
+    const index = fleet.hosts.findIndex(({ record }) => record.capacity < 1);
+    const host = fleet.hosts[index];
+    fleet.setTargetsCut(index, true);
+    await clock.advance(KNOWN_MILLISECONDS);
+    expect(countNaming(fleet, host?.record.name ?? '')).toBe(64);
+    fleet.addCallersAt(index, 10, WORK_MILLISECONDS);
+    await clock.advance(KNOWN_MILLISECONDS);
+    expect(countNaming(fleet, host?.record.name ?? '')).toBe(0);
+  });
+
   it('lets the others use their targets in full while three of four hosts are cut', async () => {
     const { clock, fleet } = await makeFleet({
       hosts: 4,
--- a/packages/entry/tests/routing/placement-controller.test.ts
+++ b/packages/entry/tests/routing/placement-controller.test.ts
@@ -65,7 +65,13 @@
     });
     for (let sequence = 1; sequence <= 40; sequence++) {
       await clock.advance(500);
-      const status = { name: 'host-2', incarnation: 'first', sequence, leaving: false };
+      const status = {
+        name: 'host-2',
+        incarnation: 'first',
+        sequence,
+        leaving: false,
+        reachesNone: false,
+      };
       peers.update({ ...status, utilization: 0, asked: { [service.name]: 60 } }, 'itself');
       controller.sweep();
     }
--- a/packages/test-utils/src/entry-fleet.ts
+++ b/packages/test-utils/src/entry-fleet.ts
@@ -150,16 +150,30 @@
    */
   addCallers(perSecond: number, workMilliseconds: number, keys = 200): void {
     const large = this.hosts.filter(({ record }) => record.capacity === LARGE_CAPACITY);
-    const gap = (MILLISECONDS_PER_SECOND * large.length) / perSecond;
     for (const host of large) {
-      const ask = (): void => {
-        this.#ask(host, workMilliseconds, keys);
-        this.#options.clock.after(2 * gap * this.#random.next(), ask);
-      };
-      this.#options.clock.after(gap * this.#random.next(), ask);
+      this.#addCallersOf(host, perSecond / large.length, workMilliseconds, keys);
     }
   }
 
+  /** The same at the host at a place alone, with its requests a second. */
+  addCallersAt(index: number, perSecond: number, workMilliseconds: number, keys = 200): void {
+    this.#addCallersOf(this.#hostAt(index), perSecond, workMilliseconds, keys);
+  }
+
+  #addCallersOf(
+    host: EntryFleetHost,
+    perSecond: number,
+    workMilliseconds: number,
+    keys: number,
+  ): void {
+    const gap = MILLISECONDS_PER_SECOND / perSecond;
+    const ask = (): void => {
+      this.#ask(host, workMilliseconds, keys);
+      this.#options.clock.after(2 * gap * this.#random.next(), ask);
+    };
+    this.#options.clock.after(gap * this.#random.next(), ask);
+  }
+
   #ask({ member, record }: EntryFleetHost, workMilliseconds: number, keys: number): void {
     const service = member.state.service(
       serviceName(randomIndex(this.#random, this.#options.services)),
