fix(entry): record the time of connections that come up, not of attempts that fail

Found while connections became evidence: undici calls back with the error alone, so that the socket is undefined, not null, and the check for null took each failed attempt for a connection that had come up. So a refused attempt counted as a round trip of nearly 0 and one that timed out as one of 300 ms to that failure domain, by which targets are ranked and cancellations are delayed; a host whose ways were cut thought its targets far away for a while after they were whole.

The new test fails on the code before (two connections recorded, one came up).

--- a/packages/entry/src/request/target-client.ts
+++ b/packages/entry/src/request/target-client.ts
@@ -205,7 +205,7 @@
       const address = `${options.hostname}:${options.port}`;
       const { host: hostname, port } = splitAddress(dial?.(address) ?? address);
       connect({ ...options, hostname, port: String(port) }, (...result) => {
-        if (result[1] !== null) {
+        if (result[1]) {
           onConnected(address, clock.now() - startedAt);
         }
         result[1]?.prependListener('error', () => {
--- a/packages/entry/tests/request/target-client.test.ts
+++ b/packages/entry/tests/request/target-client.test.ts
@@ -20,7 +20,11 @@
 }
 
 describe('TargetClient', () => {
-  const client = new TargetClient({ clock: new SystemClock(), onConnected: () => undefined });
+  const connected: string[] = [];
+  const client = new TargetClient({
+    clock: new SystemClock(),
+    onConnected: (address) => connected.push(address),
+  });
   let server: Server;
 
   afterEach(() => server.close());
@@ -92,6 +96,15 @@
     expect(await closed).toBe('closed');
   });
 
+  // Guards against taking the duration of a failed attempt for the round trip to a failure domain.
+  it('records the time of connections that come up, and of no others', async () => {
+    connected.length = 0;
+    await send((socket) => socket.end(`${HEAD}content-length: 0\r\n\r\n`));
+    expect(connected).toHaveLength(1);
+    await send(() => undefined, { address: '127.0.0.1:1' });
+    expect(connected).toHaveLength(1);
+  });
+
   it('reports that nothing was sent if the connection fails', async () => {
     const outcome = await client.send({
       address: '127.0.0.1:1',
