fix(entry): do not report requests at targets that this host does not reach

Cause: a cut host's requests stay in flight to the end of their time and are reported as load at targets that they never reached; with three of four cut, the fourth counts all places as taken. Evidence: overload lines begin at 6 s at the six whole hosts, none before; the emulated fleet with the same load and no cut refuses nothing.

Change: a host reports its requests at targets of unreachable failure domains only while these answer on open connections. TargetClient counts open connections to a target. Ruled out: dropping the reports of hosts that say they reach none at the receivers: a domain that one host alone lost would remain.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -80,6 +80,7 @@
       peerCalls: new PeerClient(),
       createTransport: (onMessage) => new UdpTransport(events, onMessage),
       checkConnection: checkTarget,
+      hasIdleConnection: (address, inFlight) => this.#client.openConnections(address) > inFlight,
       onSweep: (lateMilliseconds) => {
         this.#utilizationMeter.sample();
         eventLoopDelay.record(lateMilliseconds);
--- a/packages/entry/src/fleet-member.ts
+++ b/packages/entry/src/fleet-member.ts
@@ -42,6 +42,8 @@
   readonly peerCalls: PeerCalls;
   readonly createTransport: CreateTransport;
   readonly checkConnection: CheckConnection;
+  /** Tells whether more connections to an address are open than requests in flight need. */
+  readonly hasIdleConnection: (address: string, inFlight: number) => boolean;
   /** Called a few times a second with the delay of the call. */
   readonly onSweep: (lateMilliseconds: number) => void;
   /** Event loop utilization of this host, from 0 to 1. */
@@ -121,7 +123,7 @@
         this.#exchange.triggerRound();
       },
     });
-    this.#loads = new PeerLoads(clock, this.state);
+    this.#loads = new PeerLoads(clock, this.state, (target) => this.reachability.isHeard(target));
     this.accounts = new AccountLimitController({
       ...options,
       bound: settings.quotaPolicy,
--- a/packages/entry/src/peers/peer-loads.ts
+++ b/packages/entry/src/peers/peer-loads.ts
@@ -1,3 +1,4 @@
+import type { TargetState } from '@ferrylock/routing';
 import type { Clock } from '@ferrylock/utils';
 import type { RoutingState } from '../routing/routing-state.js';
 import { addCounts, subtractCounts } from './counts.js';
@@ -22,21 +23,24 @@
 export class PeerLoads {
   readonly #clock: Clock;
   readonly #state: RoutingState;
+  readonly #isHeard: (target: TargetState) => boolean;
   readonly #sources = new Map<string, SourceLoads>();
   /** This host's last reports, by sequence number. */
   readonly #reported = new Map<number, InFlightCounts>();
 
-  constructor(clock: Clock, state: RoutingState) {
+  /** @param isHeard - tells whether requests in flight at a target are expected to be there */
+  constructor(clock: Clock, state: RoutingState, isHeard: (target: TargetState) => boolean) {
     this.#clock = clock;
     this.#state = state;
+    this.#isHeard = isHeard;
   }
 
-  /** Returns this host's own requests in flight and keeps them under a report's sequence number. */
+  /** Returns this host's own requests in flight at targets that it reaches, and keeps them under a report's sequence number. */
   recordReport(sequence: number): InFlightCounts {
     const inFlight: Record<string, number> = {};
     for (const { targets } of this.#state.services) {
       for (const target of targets.values()) {
-        if (target.inFlight > 0) {
+        if (target.inFlight > 0 && this.#isHeard(target)) {
           inFlight[target.incarnationId] = target.inFlight;
         }
       }
--- a/packages/entry/src/reachability/target-reachability.ts
+++ b/packages/entry/src/reachability/target-reachability.ts
@@ -22,6 +22,8 @@
   readonly peersServing: () => number;
   /** Called when this host begins or ceases to reach any target at all. */
   readonly onChange: () => void;
+  /** Tells whether an idle connection to an address is open. */
+  readonly hasIdleConnection: (address: string, inFlight: number) => boolean;
 }
 
 /**
@@ -63,6 +65,33 @@
     return times.length === 0 ? undefined : this.#options.clock.now() - Math.min(...times);
   }
 
+  /**
+   * Tells whether a request sent to a target now is expected to reach it. Where new connections
+   * fail, open ones may still work: answers on them show it.
+   */
+  isReachable({ record, inFlight }: TargetState): boolean {
+    const domain = this.#unreachableDomain(record.failureDomain);
+    return (
+      domain === undefined ||
+      (this.#isAnswering(domain) && this.#options.hasIdleConnection(record.address, inFlight))
+    );
+  }
+
+  /** Tells whether requests in flight at a target are expected to be there. */
+  isHeard({ record }: TargetState): boolean {
+    const domain = this.#unreachableDomain(record.failureDomain);
+    return domain === undefined || this.#isAnswering(domain);
+  }
+
+  #unreachableDomain(name: string): DomainReachability | undefined {
+    const domain = this.#unreachableCount === 0 ? undefined : this.#domains.get(name);
+    return domain?.unreachableSince === undefined ? undefined : domain;
+  }
+
+  #isAnswering({ lastAnsweredAt }: DomainReachability): boolean {
+    return this.#options.clock.now() - lastAnsweredAt < ANSWER_TTL_MILLISECONDS;
+  }
+
   recordSend({ record }: TargetState): void {
     this.#domain(record.failureDomain).recordSend(this.#options.clock.now());
   }
--- a/packages/entry/src/request/target-client.ts
+++ b/packages/entry/src/request/target-client.ts
@@ -1,4 +1,5 @@
 import type { IncomingHttpHeaders } from 'node:http';
+import type { Socket } from 'node:net';
 import type { buildConnector as BuildConnector } from 'undici';
 import { Agent, buildConnector } from 'undici';
 import type { Clock } from '@ferrylock/utils';
@@ -84,6 +85,7 @@
   readonly #options: TargetClientOptions;
   /** Set while the transport handles the reset of a connection. */
   #isReset = false;
+  readonly #openConnections = new Map<string, number>();
   readonly #connect = this.#connector();
   readonly #agent = new Agent({
     connections: null,
@@ -206,6 +208,7 @@
       const { host: hostname, port } = splitAddress(dial?.(address) ?? address);
       connect({ ...options, hostname, port: String(port) }, (...result) => {
         if (result[1]) {
+          this.#countConnection(address, result[1]);
           onConnected(address, clock.now() - startedAt);
         }
         result[1]?.prependListener('error', () => {
@@ -219,6 +222,23 @@
     };
   }
 
+  /** Number of open connections to a target. */
+  openConnections(address: string): number {
+    return this.#openConnections.get(address) ?? 0;
+  }
+
+  #countConnection(address: string, socket: Socket): void {
+    this.#openConnections.set(address, this.openConnections(address) + 1);
+    socket.once('close', () => {
+      const others = this.openConnections(address) - 1;
+      if (others > 0) {
+        this.#openConnections.set(address, others);
+      } else {
+        this.#openConnections.delete(address);
+      }
+    });
+  }
+
   /** Closes all connections. */
   async close(): Promise<void> {
     await Promise.all([this.#agent.destroy(), this.#singleUseAgent.destroy()]);
--- a/packages/entry/tests/fixtures.ts
+++ b/packages/entry/tests/fixtures.ts
@@ -140,6 +140,7 @@
     services: () => [],
     checkConnection: () => Promise.resolve('taken'),
     peersServing: () => 0,
+    hasIdleConnection: () => false,
     onChange: () => undefined,
   });
 }
--- a/packages/entry/tests/peers/message-size.test.ts
+++ b/packages/entry/tests/peers/message-size.test.ts
@@ -73,7 +73,7 @@
   for (let index = 1; index < domainHosts; index++) {
     peers.update({ ...status, name: `host-${index}` }, 'itself');
   }
-  const loads = new PeerLoads(clock, makeRoutingState(clock, view, log));
+  const loads = new PeerLoads(clock, makeRoutingState(clock, view, log), () => true);
   loads.update(loadSource.host('host-1'), manyCounts(targets));
   const accountDuty = makeAccountDuty(clock);
   const used = manyCounts(accounts);
--- a/packages/entry/tests/peers/message-writer.test.ts
+++ b/packages/entry/tests/peers/message-writer.test.ts
@@ -38,7 +38,7 @@
     clock,
     view,
     peers,
-    loads: new PeerLoads(clock, makeRoutingState(clock, view, log)),
+    loads: new PeerLoads(clock, makeRoutingState(clock, view, log), () => true),
     accounts: makeAccountDuty(clock),
     limits: makeLimitDuty(clock, log),
     suspects: makeSuspectDuty(clock, log),
--- a/packages/entry/tests/peers/peer-exchange.test.ts
+++ b/packages/entry/tests/peers/peer-exchange.test.ts
@@ -38,7 +38,7 @@
     events: log,
     view,
     peers,
-    loads: new PeerLoads(clock, state),
+    loads: new PeerLoads(clock, state, () => true),
     accounts: makeAccountDuty(clock),
     limits: makeLimitDuty(clock, log),
     suspects: makeSuspectDuty(clock, log),
--- a/packages/entry/tests/peers/peer-loads.test.ts
+++ b/packages/entry/tests/peers/peer-loads.test.ts
@@ -5,7 +5,7 @@
 import { PEER_TIMEOUT_MILLISECONDS } from '../../src/peers/peer-table.js';
 import { captureEvents, makeRoutingState, targetChange } from '../fixtures.js';
 
-function makeLoads() {
+function makeLoads(isHeard = () => true) {
   const clock = new FakeClock();
   const { log } = captureEvents();
   const view = new FleetView();
@@ -25,10 +25,20 @@
       changes: [targetChange(2, { id, bornAt: 1_000 })],
     });
   };
-  return { clock, loads: new PeerLoads(clock, state), target, restart };
+  return { clock, loads: new PeerLoads(clock, state, isHeard), target, restart };
 }
 
 describe('PeerLoads', () => {
+  // Guards against keeping other hosts from targets by requests that never arrived there.
+  it('does not report requests at targets that this host does not reach', () => {
+    let isHeard = true;
+    const { loads, target } = makeLoads(() => isHeard);
+    target('a').inFlight = 3;
+    expect(loads.recordReport(1)).toEqual({ [target('a').incarnationId]: 3 });
+    isHeard = false;
+    expect(loads.recordReport(2)).toEqual({});
+  });
+
   it('adds up the latest reports of all sources', () => {
     const { loads, target, clock } = makeLoads();
     loads.update('host h1', { a: 2, b: 1 });
--- a/packages/entry/tests/reachability/target-reachability.test.ts
+++ b/packages/entry/tests/reachability/target-reachability.test.ts
@@ -30,6 +30,8 @@
   /** Outcome of a connection to an address; by default it is accepted. */
   const broken = new Map<string, ConnectionCheck>();
   const attempts: string[] = [];
+  /** Addresses to which an idle connection is open. */
+  const idle = new Set<string>();
   const changes: boolean[] = [];
   const checkConnection = async (address: string): Promise<ConnectionCheck> => {
     attempts.push(address);
@@ -44,6 +46,7 @@
     services: () => state.services,
     checkConnection,
     peersServing: () => 5,
+    hasIdleConnection: (address) => idle.has(address),
     onChange: () => {
       changes.push(reachability.reachesNone);
     },
@@ -68,7 +71,7 @@
     reachability.recordEnd(target);
   };
   const eventsOf = (name: string) => events.filter(({ event }) => event === name);
-  const context = { clock, all, broken, attempts, changes, reachability };
+  const context = { clock, all, broken, attempts, idle, changes, reachability };
   return { ...context, inDomain, setBroken, sweepFor, answer, eventsOf };
 }
 
@@ -144,6 +147,28 @@
     expect(host.eventsOf('domain-reachability').at(-1)).toMatchObject({ isReachable: true });
   });
 
+  it('uses open connections while targets answer on them, though new ones fail', async () => {
+    const host = makeHost();
+    const [first, second] = host.all;
+    if (first === undefined || second === undefined) {
+      throw new Error('expected two targets');
+    }
+    host.setBroken('unknown');
+    host.idle.add(first.record.address);
+    host.reachability.recordConnectFailure(second);
+    for (let round = 0; round < 20; round++) {
+      host.all.forEach(host.answer);
+      await host.sweepFor(SWEEP_MILLISECONDS);
+    }
+    expect(host.reachability.unreachableDomains).toContain(first.record.failureDomain);
+    expect(host.reachability.isReachable(first)).toBe(true);
+    expect(host.reachability.isReachable(second)).toBe(false);
+    expect(host.reachability.reachesNone).toBe(false);
+    await host.sweepFor(2_000);
+    expect(host.reachability.isReachable(first)).toBe(false);
+    expect(host.reachability.reachesNone).toBe(true);
+  });
+
   it('tells a failure domain that is away from a host that is cut off', async () => {
     const host = makeHost();
     host.all.forEach(host.answer);
--- a/packages/test-utils/src/entry-fleet.ts
+++ b/packages/test-utils/src/entry-fleet.ts
@@ -301,6 +301,7 @@
       peerCalls: this.network.callsOf(record),
       createTransport: (onMessage) => this.network.createTransport(record, onMessage),
       checkConnection: () => this.#checkConnection(record.name),
+      hasIdleConnection: () => false,
       onSweep: () => undefined,
       utilization: () => 0.05,
     });
