fix(entry, routing): send to no target that this host does not reach, and refuse at once where there is no other

Callers saw: each request at a cut host held for its whole time (2.4 to 2.7 s, 504) or for three connection timeouts (1.5 to 2.0 s, 503). Cause: a failure is charged to its target alone; where all are ejected the selection falls back on any, as if the cause were elsewhere, which here it was: at the host itself. Evidence: 29 to 42 of 44 targets ejected at each cut host, none at the others.

With one domain away its targets' requests go to the others at once. Ruled out: longer ejections, which would hold whole targets out after the cut as well.

--- a/packages/entry/src/fleet-member.ts
+++ b/packages/entry/src/fleet-member.ts
@@ -113,6 +113,7 @@
       view,
       ownName: settings.name,
       ownRegion: settings.region,
+      isReachable: (target) => this.reachability.isReachable(target),
       storeAvailableSince: () => this.#storeHealth.availableSince,
     });
     this.reachability = new TargetReachability({
--- a/packages/entry/src/request/refusal.ts
+++ b/packages/entry/src/request/refusal.ts
@@ -20,6 +20,7 @@
   'targets-rest': 503,
   'targets-limited': 503,
   'targets-end': 503,
+  'targets-unreachable': 503,
   'connect-failed': 503,
   'deadline-not-run': 503,
   deadline: 504,
--- a/packages/entry/src/request/refusals.ts
+++ b/packages/entry/src/request/refusals.ts
@@ -15,6 +15,8 @@
   'no-common-region': 'no region may serve both the route and the client account',
 } as const;
 const NOT_READY_RETRY_SECONDS = 1;
+/** Paths are checked several times within it, and callers learn of other hosts. */
+const UNREACHABLE_RETRY_SECONDS = 1;
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** Refusal while no configuration is known. */
@@ -30,6 +32,13 @@
   return { reason: 'over-quota', detail, ran: 'no', retryAfterSeconds };
 }
 
+/** Refusal while this host reaches no target that may serve the request. */
+export function targetsUnreachable(): Refusal {
+  const detail = 'this entry host reaches no target, nor does another one take the request';
+  const retryAfterSeconds = UNREACHABLE_RETRY_SECONDS;
+  return { reason: 'targets-unreachable', detail, ran: 'no', retryAfterSeconds };
+}
+
 /** Refusal of an invalid request. */
 export function badRequest(detail: string): Refusal {
   return { reason: 'bad-request', detail, ran: 'no' };
--- a/packages/entry/src/request/request-forwarder.ts
+++ b/packages/entry/src/request/request-forwarder.ts
@@ -27,6 +27,7 @@
   badRequest,
   bodyRefusal,
   notReady,
+  targetsUnreachable,
   overQuota,
 } from './refusals.js';
 import type { Refusal, RefusalReason } from './refusal.js';
@@ -216,6 +217,9 @@
       const maySend = mayRun && progress.cancelledBy === undefined;
       const target = maySend ? this.#chooseTarget(forwarding) : undefined;
       if (target === undefined) {
+        if (maySend && service.reachOf(exchange.route) === 'none') {
+          progress.recordRefusal(targetsUnreachable());
+        }
         this.#finish(forwarding);
         return;
       }
--- a/packages/entry/src/request/request-progress.ts
+++ b/packages/entry/src/request/request-progress.ts
@@ -62,10 +62,17 @@
    * @param retryAfterSeconds - delay until a trial run is allowed; undefined if none is left
    */
   rejectSuspect(retryAfterSeconds?: number): void {
+    const detail = 'targets ended when they ran this request';
+    const refusal = { reason: 'targets-end', detail, ran: 'no' } as const;
+    this.recordRefusal(
+      retryAfterSeconds === undefined ? refusal : { ...refusal, retryAfterSeconds },
+    );
+  }
+
+  /** Records a refusal of the request by this host or by one that it was handed over to. */
+  recordRefusal(refusal: Refusal): void {
     if (!this.#mayHaveRun) {
-      const detail = 'targets ended when they ran this request';
-      const refusal = { reason: 'targets-end', detail, ran: 'no' } as const;
-      this.#refusal = retryAfterSeconds === undefined ? refusal : { ...refusal, retryAfterSeconds };
+      this.#refusal = refusal;
     }
   }
 
@@ -94,9 +101,7 @@
   }
 
   #recordNotRun({ reason, detail }: Extract<SendVerdict, { kind: 'not-run' }>): NextStep {
-    if (!this.#mayHaveRun) {
-      this.#refusal = { reason, detail, ran: 'no' };
-    }
+    this.recordRefusal({ reason, detail, ran: 'no' });
     if (reason !== 'target-refused') {
       this.#unsent++;
       return this.#unsent < MAX_UNSENT ? this.#retryStep() : 'give-up';
--- a/packages/entry/src/routing/routing-state.ts
+++ b/packages/entry/src/routing/routing-state.ts
@@ -39,6 +39,8 @@
   readonly regionShiftLimit: RegionShiftLimit;
   readonly limits: Pick<TargetLimits, 'tryAcquire' | 'waitMilliseconds'>;
   readonly disabledMechanisms: DisabledMechanisms;
+  /** Tells whether requests to a target are expected to reach it; all are by default. */
+  readonly isReachable?: (target: TargetState) => boolean;
   /** Monotonic time since which the store is available; infinite while it is unavailable. */
   readonly storeAvailableSince: () => number;
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -48,6 +48,7 @@
 export type {
   PutOutcome,
   SelectionRequest,
+  TargetReach,
   ServiceTargetsOptions,
   ObservedResponse,
 } from './service-targets.js';
--- a/packages/routing/src/service-targets.ts
+++ b/packages/routing/src/service-targets.ts
@@ -37,6 +37,8 @@
   readonly ownRegion: string;
   /** Tells whether a failure domain is being evacuated. */
   readonly isEvacuated: (failureDomain: string) => boolean;
+  /** Tells whether requests to a target are expected to reach it; all are by default. */
+  readonly isReachable?: ((target: TargetState) => boolean) | undefined;
   readonly regionShiftLimit: RegionShiftLimit;
   /** Overflow budget shared by all services of this host. */
   readonly overflows: OverflowBudget;
@@ -68,6 +70,9 @@
   readonly loadPerSlot: number;
 }
 
+/** Which of the targets that may serve a request a host reaches. */
+export type TargetReach = 'all' | 'some' | 'none';
+
 /** Result of a record: a new target, a new incarnation, or an update. */
 export type PutOutcome = 'added' | 'reborn' | 'updated';
 
@@ -240,22 +245,45 @@
   }
 
   /** Tells when the first eligible target is available, if all rest or are at their limit. */
-  earliestAvailability({
-    homeRegions,
-  }: Pick<Route, 'homeRegions'>): TargetAvailability | undefined {
-    const { clock, regionOf, isEvacuated, limits, disabledMechanisms: disabled } = this.#options;
-    const isEligible = ({ leaving, record: { failureDomain } }: TargetState): boolean =>
-      !leaving &&
-      !isEvacuated(failureDomain) &&
-      (homeRegions.length === 0 || homeRegions.includes(regionOf(failureDomain)));
+  earliestAvailability(route: Pick<Route, 'homeRegions'>): TargetAvailability | undefined {
+    const { clock, limits, disabledMechanisms: disabled } = this.#options;
     return earliestAvailability(this.targets.values(), {
       now: clock.now(),
-      isEligible,
+      isEligible: (target) => this.#isEligible(target, route),
       limits,
       disabledMechanisms: disabled,
     });
   }
 
+  /** Tells how many of the targets that may serve a route this host reaches. */
+  reachOf(route: Pick<Route, 'homeRegions'>): TargetReach {
+    const { isReachable } = this.#options;
+    let [reached, unreached] = [0, 0];
+    for (const target of this.targets.values()) {
+      if (this.#isEligible(target, route)) {
+        const isReached = isReachable?.(target) !== false;
+        reached += Number(isReached);
+        unreached += Number(!isReached);
+      }
+    }
+    if (unreached === 0) {
+      return 'all';
+    }
+    return reached === 0 ? 'none' : 'some';
+  }
+
+  #isEligible(
+    { leaving, record: { failureDomain } }: TargetState,
+    { homeRegions }: Pick<Route, 'homeRegions'>,
+  ): boolean {
+    const { regionOf, isEvacuated } = this.#options;
+    return (
+      !leaving &&
+      !isEvacuated(failureDomain) &&
+      (homeRegions.length === 0 || homeRegions.includes(regionOf(failureDomain)))
+    );
+  }
+
   /**
    * Records an attempt without a usable response.
    *
--- a/packages/routing/src/target-selector.ts
+++ b/packages/routing/src/target-selector.ts
@@ -44,6 +44,8 @@
   readonly ownRegion: string;
   /** Tells whether a failure domain is being evacuated. */
   readonly isEvacuated: (failureDomain: string) => boolean;
+  /** Tells whether requests to a target are expected to reach it; all are by default. */
+  readonly isReachable?: ((target: TargetState) => boolean) | undefined;
   readonly placement: RegionPlacement;
   /** Round-trip time to the failure domain of a target, in milliseconds. */
   readonly roundTripMilliseconds: (target: TargetState) => number;
@@ -231,13 +233,18 @@
     return this.#isUsable(target, criteria, now) && !target.isCold(now) && !target.isEjected(now);
   }
 
-  /** Excludes targets on every path. Unlike an ejected target, a resting one is never used. */
+  /**
+   * Excludes targets on every path. Unlike an ejected target, one that rests or is behind a broken
+   * path is never used.
+   */
   #isUsable(target: TargetState, { tried }: SelectionCriteria, now: number): boolean {
+    const { isReachable, disabledMechanisms } = this.#options;
     return (
       !target.leaving &&
-      !target.isResting(now, this.#options.disabledMechanisms) &&
+      !target.isResting(now, disabledMechanisms) &&
       !tried.has(target.id) &&
-      !this.#options.isEvacuated(target.record.failureDomain)
+      !this.#options.isEvacuated(target.record.failureDomain) &&
+      isReachable?.(target) !== false
     );
   }
 
--- a/packages/routing/tests/service-targets.test.ts
+++ b/packages/routing/tests/service-targets.test.ts
@@ -12,7 +12,7 @@
 const REGIONS: Record<string, string> = { 'aarhus-hal': 'jylland', 'odense-hal': 'fyn' };
 const KEYS = Array.from({ length: 400 }, (_, index) => `object-${index}`);
 
-function makeService(evacuated = '') {
+function makeService(evacuated = '', unreachable: readonly string[] = []) {
   const clock = new FakeClock();
   const bound = { share: 0.15, windowMilliseconds: 2_000 };
   const overflows = new OverflowBudget({ clock, bound, ownName: 'host-1' });
@@ -23,6 +23,7 @@
     regionOf: (failureDomain) => REGIONS[failureDomain] ?? failureDomain,
     ownRegion: 'jylland',
     isEvacuated: (failureDomain) => failureDomain === evacuated,
+    isReachable: ({ record }) => !unreachable.includes(record.failureDomain),
     regionShiftLimit: bound,
     limits: NO_LIMITS,
     disabledMechanisms: NO_DISABLED_MECHANISMS,
@@ -55,6 +56,19 @@
 }
 
 describe('ServiceTargets', () => {
+  it.each([
+    [[], [], 'all'],
+    [['odense-hal'], [], 'some'],
+    [['odense-hal'], ['jylland'], 'all'],
+    [['odense-hal'], ['fyn'], 'none'],
+    [['odense-hal', 'aarhus-hal'], [], 'none'],
+  ])('tells which targets it reaches: without %j, homes %j', (unreachable, homeRegions, reach) => {
+    const { service } = makeService('', unreachable);
+    addTargets(service, 'aarhus-hal', 2);
+    addTargets(service, 'odense-hal', 2);
+    expect(service.reachOf({ homeRegions })).toBe(reach);
+  });
+
   it('serves the share of keys locally that the slots of the region allow', () => {
     const { service } = makeService();
     addTargets(service, 'aarhus-hal', 2);
--- a/packages/routing/tests/target-selector.test.ts
+++ b/packages/routing/tests/target-selector.test.ts
@@ -32,7 +32,7 @@
 
 function makeSelector(
   targets: Map<string, TargetState>,
-  { ownRegion = 'none', evacuated = '' } = {},
+  { ownRegion = 'none', evacuated = '', unreachable = '' } = {},
 ): TargetSelector {
   const regionOf = (failureDomain: string): string => REGIONS[failureDomain] ?? failureDomain;
   const placement = new RegionPlacement({
@@ -45,6 +45,7 @@
     ownRegion,
     regionOf,
     isEvacuated: (failureDomain) => failureDomain === evacuated,
+    isReachable: ({ record }) => record.failureDomain !== unreachable,
     placement,
     roundTripMilliseconds: ({ record }) => (regionOf(record.failureDomain) === ownRegion ? 0 : FAR),
     disabledMechanisms: NO_DISABLED_MECHANISMS,
@@ -240,15 +241,28 @@
     expect(selector.select(makeCriteria(), NOW, neverCold)?.id).toBe(second);
   });
 
-  it('selects no target of an evacuated failure domain', () => {
+  it.each([
+    ['evacuated', { evacuated: 'odense-hal' }],
+    ['unreachable', { unreachable: 'odense-hal' }],
+  ])('selects no target of a failure domain that is %s', (_state, domains) => {
     const targets = makeTargets(30, Object.keys(REGIONS));
-    const selector = makeSelector(targets, { evacuated: 'odense-hal' });
+    const selector = makeSelector(targets, domains);
     for (let index = 0; index < 100; index++) {
       const target = selector.select(makeCriteria({ key: `object-${index}` }), NOW, neverCold);
       expect(target?.record.failureDomain).not.toBe('odense-hal');
     }
   });
 
+  // Guards against spending the time of each request on targets behind a broken path.
+  it('selects none if all are unreachable, rather than any of them', () => {
+    const targets = makeTargets(6, ['odense-hal']);
+    const selector = makeSelector(targets, { unreachable: 'odense-hal' });
+    for (const target of targets.values()) {
+      target.recordFailure(NOW);
+    }
+    expect(selector.select(makeCriteria(), NOW, () => true)).toBeUndefined();
+  });
+
   it('uses a cold target only if no other is eligible and the limiter admits it', () => {
     const targets = makeTargets(3);
     const selector = makeSelector(targets);
