fix(entry): accuse no request of ending targets that only this host cannot reach

Callers would see: requests rejected by the whole fleet, because one host lost its ways by resets and refusals. Cause: 'connection lost, then refused' counts as a target's end; a broken path shows the same at all targets at once.

The line answers-lost says 'unreachable' then. Ruled out: the belief in unreachable domains, which comes 50 ms too late for this decision; peers' word, which needs a round.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -125,6 +125,7 @@
       clock,
       events,
       checkConnection: checkTarget,
+      isPathWhole: (target) => reachability.isPathWhole(target),
       onCrash: (crash) => {
         suspects.recordCrash(crash);
       },
--- a/packages/entry/src/events.ts
+++ b/packages/entry/src/events.ts
@@ -225,13 +225,13 @@
   /**
    * The connections to a target closed before it responded to these requests. `refused`: the target
    * has crashed, possibly because of one of them. `taken` and `unknown`: only the responses were
-   * lost.
+   * lost. `unreachable`: it refuses connections, but so do other targets.
    */
   z.object({
     event: z.literal('answers-lost'),
     target: z.string(),
     service: z.string(),
-    connection: z.enum(['refused', 'taken', 'unknown']),
+    connection: z.enum(['refused', 'taken', 'unknown', 'unreachable']),
     requests: z.array(
       z.object({
         /** Equal for all attempts of the same request, regardless of its id and the host. */
--- a/packages/entry/src/reachability/select-witnesses.ts
+++ b/packages/entry/src/reachability/select-witnesses.ts
@@ -5,15 +5,16 @@
 /** Targets of a failure domain that one check connects to. */
 const WITNESSES = 2;
 
-/** Targets of a failure domain that are expected to accept connections. */
+/** Targets that are expected to accept connections, of one failure domain or of all. */
 export function targetsOf(
   services: Iterable<ServiceTargets>,
-  failureDomain: string,
+  failureDomain?: string,
 ): TargetState[] {
   const targets: TargetState[] = [];
   for (const service of services) {
     for (const target of service.targets.values()) {
-      if (target.record.failureDomain === failureDomain && !target.leaving) {
+      const isIncluded = [undefined, target.record.failureDomain].includes(failureDomain);
+      if (isIncluded && !target.leaving) {
         targets.push(target);
       }
     }
--- a/packages/entry/src/reachability/target-reachability.ts
+++ b/packages/entry/src/reachability/target-reachability.ts
@@ -1,4 +1,5 @@
 import type { ServiceTargets, TargetState } from '@ferrylock/routing';
+import { shuffled } from '@ferrylock/utils';
 import type { Clock, Random } from '@ferrylock/utils';
 import type { EventLog } from '../events.js';
 import type { CheckConnection } from './check-connection.js';
@@ -9,6 +10,8 @@
 const MAX_CHECKS_PER_SWEEP = 8;
 /** Unreachable domains that suffice as evidence where there are more. */
 const SUFFICIENT_DOMAINS = 8;
+/** Limit on targets that are asked whether a path is whole, beyond the most recent ones. */
+const MAX_FURTHER_WITNESSES = 8;
 /** Time for which an answer shows that open connections work. */
 const ANSWER_TTL_MILLISECONDS = 1_000;
 
@@ -97,6 +100,25 @@
     return this.#options.clock.now() - lastAnsweredAt < ANSWER_TTL_MILLISECONDS;
   }
 
+  /**
+   * Checks whether other targets of the failure domain accept connections, or targets of other
+   * domains if it has no others.
+   */
+  async isPathWhole(target: TargetState): Promise<boolean> {
+    const { random, services, checkConnection } = this.#options;
+    const isOther = ({ id }: TargetState): boolean => id !== target.id;
+    const near = targetsOf(services(), target.record.failureDomain).filter(isOther);
+    const others = near.length > 0 ? near : targetsOf(services()).filter(isOther);
+    const isAccepted = async (witnesses: readonly TargetState[]): Promise<boolean> => {
+      const checks = witnesses.map(({ record }) => checkConnection(record.address));
+      return (await Promise.all(checks)).includes('taken');
+    };
+    const recent = selectRecentWitnesses(others);
+    // The most recent ones may have crashed as well, of the same request.
+    const further = shuffled(random, others).slice(0, MAX_FURTHER_WITNESSES);
+    return others.length === 0 || (await isAccepted(recent)) || isAccepted(further);
+  }
+
   recordSend({ record }: TargetState): void {
     this.#domain(record.failureDomain).recordSend(this.#options.clock.now());
   }
--- a/packages/entry/src/suspects/target-crash-detector.ts
+++ b/packages/entry/src/suspects/target-crash-detector.ts
@@ -39,6 +39,8 @@
   readonly clock: Clock;
   readonly events: EventLog;
   readonly checkConnection: CheckConnection;
+  /** Checks whether this host reaches other targets by the path to a target. */
+  readonly isPathWhole: (target: TargetState) => Promise<boolean>;
   readonly onCrash: (crash: TargetCrash) => void;
 }
 
@@ -52,7 +54,8 @@
 /**
  * Detects crashes of targets from lost responses. A connection that closes early does not suffice:
  * connections are also reset while their target is alive. A target has crashed if, in addition, no
- * process listens at its address although its record does not announce a shutdown.
+ * process listens at its address although its record does not announce a shutdown, and other targets
+ * accept connections: a broken path may refuse them, too.
  */
 export class TargetCrashDetector {
   /** Number of crashes detected. */
@@ -102,14 +105,16 @@
 
   async #check(losses: Losses): Promise<void> {
     const { service, state } = losses;
-    const check = await this.#options.checkConnection(state.record.address);
+    const { checkConnection, isPathWhole } = this.#options;
+    const check = await checkConnection(state.record.address);
+    const isPathBroken = check === 'refused' && !(await isPathWhole(state));
     this.#losses.delete(state.incarnationId);
-    if (check === 'refused' && isServing(service, state)) {
+    if (check === 'refused' && !isPathBroken && isServing(service, state)) {
       this.crashes++;
       this.#remember(state.incarnationId);
       this.#reportCrash(losses);
     } else {
-      this.#log(losses, check);
+      this.#log(losses, isPathBroken ? 'unreachable' : check);
     }
   }
 
@@ -129,7 +134,7 @@
     this.#options.onCrash({ target: losses.state.incarnationId, requests: losses.requests });
   }
 
-  #log({ service, state, requests }: Losses, connection: ConnectionCheck): void {
+  #log({ service, state, requests }: Losses, connection: ConnectionCheck | 'unreachable'): void {
     this.#options.events.write({
       event: 'answers-lost',
       target: state.id,
--- a/packages/entry/tests/suspects/target-crash-detector.test.ts
+++ b/packages/entry/tests/suspects/target-crash-detector.test.ts
@@ -7,7 +7,7 @@
 import { TargetCrashDetector } from '../../src/suspects/target-crash-detector.js';
 import { captureEvents, makeExchange, makeRoutingState, targetChange } from '../fixtures.js';
 
-function setUp(connection: ConnectionCheck = 'refused') {
+function setUp(connection: ConnectionCheck = 'refused', isPathWhole = true) {
   const clock = new FakeClock();
   const { log, events } = captureEvents();
   const view = new FleetView();
@@ -27,6 +27,7 @@
       checked.push(address);
       return Promise.resolve(connection);
     },
+    isPathWhole: () => Promise.resolve(isPathWhole),
     onCrash: (end) => crashes.push(end),
   });
   const loseResponse = (path: string): void => {
@@ -66,6 +67,17 @@
     },
   );
 
+  // Guards against accusing each request in flight when the host loses its ways to the targets.
+  it('reports no crash if other targets cannot be reached either', async () => {
+    const { clock, detector, crashes, events, loseResponse } = setUp('refused', false);
+    loseResponse('/one');
+    await clock.advance(100);
+    expect([detector.crashes, crashes]).toEqual([0, []]);
+    expect(lossEvents(events)).toMatchObject([
+      { event: 'answers-lost', connection: 'unreachable', target: 'target-1' },
+    ]);
+  });
+
   it('adds a loss that is noticed after the crash without a second check', async () => {
     const { clock, detector, checked, crashes, loseResponse } = setUp();
     loseResponse('/one');
