--- a/packages/entry/src/reachability/select-witnesses.ts
+++ b/packages/entry/src/reachability/select-witnesses.ts
@@ -2,7 +2,7 @@
 import { shuffled } from '@ferrylock/utils';
 import type { Random } from '@ferrylock/utils';
 
-/** Targets of a failure domain that one check connects to. */
+/** Targets of a failure domain that a check of an unreachable one connects to. */
 const WITNESSES = 2;
 
 /** Targets that are expected to accept connections, of one failure domain or of all. */
@@ -24,9 +24,16 @@
 
 /**
  * Selects the targets that answered last, which are the most likely to be alive; of two services
- * where possible, since all targets of one may fail for the same reason.
+ * where possible, since all targets of one may fail for the same reason. A random one joins them,
+ * since those two may have crashed of the same request.
  */
-export function selectRecentWitnesses(targets: readonly TargetState[]): TargetState[] {
+export function selectWitnesses(targets: readonly TargetState[], random: Random): TargetState[] {
+  const recent = selectRecent(targets);
+  const others = targets.filter((target) => !recent.includes(target));
+  return [...recent, ...shuffled(random, others).slice(0, 1)];
+}
+
+function selectRecent(targets: readonly TargetState[]): TargetState[] {
   const recentFirst = [...targets].sort((a, b) => compareTimes(b, a));
   const [first] = recentFirst;
   if (first === undefined) {
--- a/packages/entry/src/reachability/target-reachability.ts
+++ b/packages/entry/src/reachability/target-reachability.ts
@@ -4,7 +4,7 @@
 import type { EventLog } from '../events.js';
 import type { CheckConnection } from './check-connection.js';
 import { COMMON_SILENCE_MILLISECONDS, DomainReachability } from './domain-reachability.js';
-import { selectRandomWitnesses, selectRecentWitnesses, targetsOf } from './select-witnesses.js';
+import { selectRandomWitnesses, selectWitnesses, targetsOf } from './select-witnesses.js';
 
 /** Limit on domains that one sweep begins to check. */
 const MAX_CHECKS_PER_SWEEP = 8;
@@ -113,8 +113,7 @@
       const checks = witnesses.map(({ record }) => checkConnection(record.address));
       return (await Promise.all(checks)).includes('taken');
     };
-    const recent = selectRecentWitnesses(others);
-    // The most recent ones may have crashed as well, of the same request.
+    const recent = selectWitnesses(others, random);
     const further = shuffled(random, others).slice(0, MAX_FURTHER_WITNESSES);
     return others.length === 0 || (await isAccepted(recent)) || isAccepted(further);
   }
@@ -182,7 +181,7 @@
     const targets = targetsOf(services(), name);
     const witnesses =
       domain.unreachableSince === undefined
-        ? selectRecentWitnesses(targets)
+        ? selectWitnesses(targets, random)
         : selectRandomWitnesses(targets, random);
     domain.beginCheck(clock.now());
     const checks = await Promise.all(
