fix(entry): serve repeatable requests elsewhere that are in flight behind a broken path

Callers saw: reads that were at a target when the ways broke were held to the end of their time (504 after 2.4 to 2.7 s), though other hosts could serve them. Cause: a send that hangs is noticed at its deadline alone. Now a few times a second a host gives up repeatable sends whose target cannot be heard (its failure domain takes no new connection and answers on no open one) and that no answer has begun to; they are sent on as after any loss: by the retry budget, within maximum_attempts, here or by way of another host. Orders and uploads stay where they are: they may have run, and their answer may still come. Ruled out: a shorter timeout for answers, which slow targets would meet as well.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -65,6 +65,7 @@
   readonly #client: TargetClient;
   /** Connects to other entry hosts. */
   readonly #peerClient: TargetClient;
+  readonly #forwarder: RequestForwarder;
   readonly #handovers: HandoverController;
   readonly #handoverReceiver: HandoverReceiver;
   readonly #crashDetector: TargetCrashDetector;
@@ -90,6 +91,7 @@
       onSweep: (lateMilliseconds) => {
         this.#utilizationMeter.sample();
         eventLoopDelay.record(lateMilliseconds);
+        this.#forwarder.abandonUnheard();
       },
       utilization: () => this.#utilizationMeter.utilization,
     });
@@ -146,7 +148,7 @@
       reachesNone: () => reachability.reachesNone,
       maxTtlMilliseconds: settings.maxDirectoryTtlMilliseconds,
     });
-    const forwarder = new RequestForwarder({
+    this.#forwarder = new RequestForwarder({
       ...options,
       state,
       accounts,
@@ -176,7 +178,7 @@
       events.logger.error('request handler failed', { error: String(error) });
     };
     this.#trafficServer = new TrafficServer({
-      handle: (request, response, path) => forwarder.handle(request, response, path),
+      handle: (request, response, path) => this.#forwarder.handle(request, response, path),
       onFailure,
     });
     this.#handoverReceiver = new HandoverReceiver({
@@ -187,7 +189,7 @@
         utilization: () => this.#utilizationMeter.utilization,
         reachesNone: () => reachability.reachesNone,
       }),
-      forwarder,
+      forwarder: this.#forwarder,
       isLeaving: () => this.#member.isLeaving,
     });
     this.#controlServer = new ControlServer({
--- a/packages/entry/src/request/request-forwarder.ts
+++ b/packages/entry/src/request/request-forwarder.ts
@@ -13,28 +13,21 @@
 import type { HeaderCodec } from './header-codec.js';
 import type { EventLog } from '../events.js';
 import type { HandoverController } from '../handover/handover-controller.js';
+import type { RequestHandover } from '../handover/request-handover.js';
 import type { Handover } from '../handover/handover-headers.js';
 import type { TargetReachability } from '../reachability/target-reachability.js';
 import type { SuspectController } from '../suspects/suspect-controller.js';
 import type { TargetCrashDetector } from '../suspects/target-crash-detector.js';
-import { withCommonWait, targetsUnreachable } from './refusals.js';
-import type { Refusal, RefusalReason } from './refusal.js';
+import { targetsUnreachable } from './refusals.js';
 import type { RequestMetrics } from './request-metrics.js';
 import { RequestRouter } from './request-router.js';
 import { RequestProgress } from './request-progress.js';
 import type { TargetClient } from './target-client.js';
 import type { CancelCause, SendVerdict } from './target-send.js';
 import { TargetSend } from './target-send.js';
+import { withExpectedWait } from './with-expected-wait.js';
 import type { TargetSignalRecorder } from './target-signal-recorder.js';
 
-const MILLISECONDS_PER_SECOND = 1_000;
-/** Reasons that a caller may overcome by waiting for capacity. */
-const CAPACITY_REASONS: ReadonlySet<RefusalReason> = new Set([
-  'overload',
-  'target-refused',
-  'targets-rest',
-  'targets-limited',
-]);
 export interface RequestForwarderOptions {
   readonly clock: Clock;
   readonly events: EventLog;
@@ -66,7 +59,7 @@
   readonly service: ServiceTargets;
   readonly progress: RequestProgress;
   /** Send to a target or handover in flight. */
-  send: { readonly sentAt: number; cancel(cause: CancelCause): void } | undefined;
+  send: TargetSend | RequestHandover | undefined;
   /** Whether it counts as a request for the service, as it does at the host that sends it. */
   isCounted: boolean;
   /** Whether the account's usage is settled. */
@@ -78,6 +71,8 @@
   readonly #options: RequestForwarderOptions;
   readonly #router: RequestRouter;
   readonly #shares = new TrafficSplitter();
+  /** Requests that may be sent again, while they are forwarded. */
+  readonly #repeatable = new Set<ForwardingState>();
 
   constructor(options: RequestForwarderOptions) {
     this.#options = options;
@@ -143,6 +138,9 @@
         cancel('caller-gone');
       }
     };
+    if (exchange.route.kind === 'repeatable') {
+      this.#repeatable.add(forwarding);
+    }
     exchange.response.on('close', onClose);
     const cancelTimer = clock.after(Math.max(0, exchange.deadlineAt - clock.now()), () => {
       cancel('deadline');
@@ -154,11 +152,24 @@
       await this.#sendToTargets(forwarding);
     } finally {
       cancelTimer();
+      this.#repeatable.delete(forwarding);
       exchange.response.off('close', onClose);
       this.#settleOnce(forwarding);
     }
   }
 
+  /** Gives up sends whose targets cannot be heard, so that their requests are served elsewhere. */
+  abandonUnheard(): void {
+    if (this.#options.reachability.unreachableDomains.length === 0) {
+      return;
+    }
+    for (const { send } of this.#repeatable) {
+      if (send instanceof TargetSend) {
+        send.abandonIfUnheard();
+      }
+    }
+  }
+
   #settleOnce(forwarding: ForwardingState): void {
     if (!forwarding.isSettled) {
       forwarding.isSettled = true;
@@ -298,36 +309,22 @@
 
   /** Sends the final response after the last send. */
   #finish(forwarding: ForwardingState): void {
-    const { exchange, progress } = forwarding;
-    const { responses } = this.#options;
+    const { exchange, service, progress } = forwarding;
+    const { responses, state } = this.#options;
     if (progress.cancelledBy === 'caller-gone') {
       return;
     }
     const { outcome } = progress;
     if ('reason' in outcome) {
-      responses.refuse(exchange, this.#withRetryAfter(outcome, forwarding), progress.attempts);
+      const { route } = exchange;
+      const lowestPriority = state.active?.lowestPriority ?? route.priority;
+      const refusal = withExpectedWait(outcome, { route, service, lowestPriority });
+      responses.refuse(exchange, refusal, progress.attempts);
     } else {
       responses.deliver(exchange, outcome, this.#originOf(forwarding, undefined));
     }
   }
 
-  /** Adds the expected wait to a refusal for lack of capacity. */
-  #withRetryAfter(refusal: Refusal, { exchange: { route }, service }: ForwardingState): Refusal {
-    if (refusal.retryAfterSeconds !== undefined) {
-      return refusal;
-    }
-    const lowestPriority = this.#options.state.active?.lowestPriority ?? route.priority;
-    const backlogMilliseconds = service.backlogMilliseconds(route, lowestPriority);
-    const awaitsCapacity = CAPACITY_REASONS.has(refusal.reason);
-    const wait = awaitsCapacity ? service.earliestAvailability(route) : undefined;
-    if (wait !== undefined) {
-      return withCommonWait(refusal, wait);
-    }
-    return awaitsCapacity && backlogMilliseconds !== undefined
-      ? { ...refusal, retryAfterSeconds: backlogMilliseconds / MILLISECONDS_PER_SECOND }
-      : refusal;
-  }
-
   #originOf({ progress }: ForwardingState, target: TargetState | undefined) {
     const load = target?.load(this.#options.clock.now()) ?? 0;
     return { target: target?.id ?? '', load, attempts: progress.attempts };
--- a/packages/entry/src/request/target-send.ts
+++ b/packages/entry/src/request/target-send.ts
@@ -62,7 +62,7 @@
   readonly suspects: SuspectController;
   readonly reachability: Pick<
     TargetReachability,
-    'recordSend' | 'recordAnswer' | 'recordEnd' | 'recordConnectFailure'
+    'recordSend' | 'recordAnswer' | 'recordEnd' | 'recordConnectFailure' | 'isHeard'
   >;
   readonly signalRecorder: TargetSignalRecorder;
   readonly limits: Pick<TargetLimits, 'tryAcquire' | 'release'>;
@@ -83,6 +83,7 @@
   /** True if this send holds a permit of the target's limit. */
   #holdsPermit: boolean;
   #cancelledBy: CancelCause | undefined;
+  #isAbandoned = false;
   #metadata: ResponseMetadata | undefined;
   #clearCancelTimer: (() => void) | undefined;
 
@@ -121,6 +122,15 @@
     });
   }
 
+  /** Gives the send up if its target cannot be heard and has not begun to answer. */
+  abandonIfUnheard(): void {
+    const { reachability, target } = this.#options;
+    if (this.#metadata === undefined && !reachability.isHeard(target)) {
+      this.#isAbandoned = true;
+      this.#send.cancel();
+    }
+  }
+
   /**
    * Delay of a cancellation after the caller has disconnected. A refusal that is on its way is
    * still received, so that a remote target's requested back-off ("rest") is not missed when
@@ -242,6 +252,12 @@
       }
       return { kind: 'ended', cause: this.#cancelledBy, wasSent: !isUnsent };
     }
+    if (this.#isAbandoned) {
+      const detail = 'the path to the target broke';
+      return isUnsent
+        ? { kind: 'not-run', reason: 'connect-failed', detail }
+        : { kind: 'unknown', reason: 'target-failed', detail };
+    }
     if (error instanceof SendNotAllowed) {
       const reason = target.isResting(clock.now()) ? 'targets-rest' : 'targets-limited';
       return { kind: 'not-run', reason, detail: error.message };
