fix(daemon): accuse no request of ending targets while no other target takes connections

It asks up to eight other targets first. Both new cases fail on the code before. Not changed there, and open: look-ups name a daemon that reaches no target, and nothing is handed over.

--- a/packages/daemon/src/components.ts
+++ b/packages/daemon/src/components.ts
@@ -118,7 +118,19 @@
     lifetimeSeconds: settings.lookup.lifetimeSeconds,
     hostsInAnswer: settings.lookup.hostsInAnswer,
   });
-  const suspects = new SuspectWatch({ clock, logger, membership, checkConnection });
+  const suspects = new SuspectWatch({
+    clock,
+    logger,
+    random,
+    membership,
+    checkConnection,
+    otherTargets: (address) =>
+      directory
+        .allServices()
+        .flatMap(({ targets }) => targets.all())
+        .filter((target) => target.address !== address && !target.leaving && !target.drained)
+        .map((target) => target.address),
+  });
   membership.addParticipant(suspects);
   const words = new TargetWords({ clock, logger, allotment: rates });
   const requestPath = new RequestPath({
--- a/packages/daemon/src/suspects/suspect-watch.ts
+++ b/packages/daemon/src/suspects/suspect-watch.ts
@@ -3,8 +3,8 @@
 import type { CheckConnection, FingerprintedRequest } from '@ferrylock/entry';
 import { RESPONSES_TO_CLEAR, SuspectTable } from '@ferrylock/routing';
 import type { Target, Verdict } from '@ferrylock/steering';
-import type { Clock, Logger } from '@ferrylock/utils';
-import { rendezvousRank } from '@ferrylock/utils';
+import type { Clock, Logger, Random } from '@ferrylock/utils';
+import { rendezvousRank, shuffled } from '@ferrylock/utils';
 import { isLost } from '../request/verdict-rules.js';
 
 /** From a lost answer to the look whether its target has ended. */
@@ -14,11 +14,17 @@
 /** Time between two trials of one request by one daemon. */
 const TRIAL_PAUSE_MILLISECONDS = 600_000;
 
+/** Limit on other targets that are asked after a refused connection. */
+const MAX_WITNESSES = 8;
+
 export interface SuspectWatchOptions {
   readonly clock: Clock;
   readonly logger: Logger;
   readonly membership: Pick<Membership, 'self' | 'knownMembers'>;
   readonly checkConnection: CheckConnection;
+  /** Addresses of other targets that are expected to accept connections. */
+  readonly otherTargets: (address: string) => readonly string[];
+  readonly random: Random;
 }
 
 /**
@@ -92,13 +98,21 @@
 
   async #check(fingerprint: string, address: string): Promise<void> {
     const connection = await this.#options.checkConnection(address);
-    if (connection === 'refused') {
+    if (connection === 'refused' && (await this.#isPathWhole(address))) {
       this.#table.recordCrash(fingerprint, address);
       const targets = this.#table.crashesOf(fingerprint);
       this.#options.logger.warn('a target ended under a request', { fingerprint, targets });
     }
   }
 
+  /** Checks whether other targets accept connections: a broken path may refuse them, too. */
+  async #isPathWhole(address: string): Promise<boolean> {
+    const { checkConnection, otherTargets, random } = this.#options;
+    const witnesses = shuffled(random, otherTargets(address)).slice(0, MAX_WITNESSES);
+    const checks = await Promise.all(witnesses.map((witness) => checkConnection(witness)));
+    return checks.length === 0 || checks.includes('taken');
+  }
+
   /** One daemon, the same by everybody's reckoning, lets a suspect run once more. */
   #takeTrial(fingerprint: string): boolean {
     const { clock, membership, logger } = this.#options;
--- a/packages/daemon/tests/suspects/suspect-watch.test.ts
+++ b/packages/daemon/tests/suspects/suspect-watch.test.ts
@@ -2,7 +2,7 @@
 import type { Target, Verdict } from '@ferrylock/steering';
 import { mayHaveRun } from '@ferrylock/steering';
 import { FakeClock } from '@ferrylock/test-utils';
-import { silentLogger } from '@ferrylock/utils';
+import { SeededRandom, silentLogger } from '@ferrylock/utils';
 import { describe, expect, it } from 'vitest';
 import { SuspectWatch } from '../../src/suspects/suspect-watch.js';
 
@@ -27,7 +27,8 @@
   ...changes,
 });
 
-function setUp(connection: ConnectionCheck = 'refused') {
+/** @param others - connections that other targets take */
+function setUp(connection: ConnectionCheck = 'refused', others: ConnectionCheck = 'taken') {
   const clock = new FakeClock();
   const members = IDS.map((id) => ({ id }) as never);
   const watches = IDS.map(
@@ -36,7 +37,10 @@
         clock,
         logger: silentLogger,
         membership: { self: { id } as never, knownMembers: () => members },
-        checkConnection: () => Promise.resolve(connection),
+        checkConnection: (address) =>
+          Promise.resolve(address.startsWith('other') ? others : connection),
+        otherTargets: () => ['other:1', 'other:2'],
+        random: new SeededRandom(1),
       }),
   );
   const [one, other] = watches as [SuspectWatch, SuspectWatch];
@@ -67,6 +71,18 @@
     expect(one.mayRun(undefined)).toBe(true);
   });
 
+  // Guards against accusing each request in flight when the daemon loses its ways to the targets.
+  it.each(['refused', 'unknown'] as const)(
+    'makes nothing of lost answers while no other target takes connections: %s',
+    async (others) => {
+      const { one, end } = setUp('refused', others);
+      for (const address of ['a:1', 'b:1', 'c:1']) {
+        await end(one, address);
+      }
+      expect(one.mayRun(request())).toBe(true);
+    },
+  );
+
   it.each([
     ['whose address still takes connections', 'taken', {}],
     ['that leaves', 'refused', { leaving: true }],
