fix(entry): try other targets before a request is handed over; hand one over whose path broke under it

A calm host, silent for 300 ms since it had no requests, took one refused connection for a broken path: it handed the request over instead of trying the next target, and the other host, calm as well, refused it. calm-host.test.ts gets 503 on the code before. A request that was handed over, or whose caller has left, goes through the usual tries.

--- a/packages/entry/src/reachability/target-reachability.ts
+++ b/packages/entry/src/reachability/target-reachability.ts
@@ -56,6 +56,11 @@
     return this.#options.clock.now() - this.#lastHeardAt >= COMMON_SILENCE_MILLISECONDS;
   }
 
+  /** Whether new connections to the targets of some failure domain fail. */
+  get hasUnreachableDomains(): boolean {
+    return this.#unreachableCount > 0;
+  }
+
   /** Failure domains with targets to which new connections fail. */
   get unreachableDomains(): string[] {
     return this.#unreachableCount === 0
--- a/packages/entry/src/request/request-forwarder.ts
+++ b/packages/entry/src/request/request-forwarder.ts
@@ -160,7 +160,7 @@
 
   /** Gives up sends whose targets cannot be heard, so that their requests are served elsewhere. */
   abandonUnheard(): void {
-    if (this.#options.reachability.unreachableDomains.length === 0) {
+    if (!this.#options.reachability.hasUnreachableDomains) {
       return;
     }
     for (const { send } of this.#repeatable) {
@@ -210,11 +210,15 @@
         return;
       }
       this.#logFailedSend(forwarding, target, verdict);
-      if (isUnconnected(verdict) && progress.attempts === 0 && reachability.isSilent) {
+      const isCut = (send.isAbandoned || isUnconnected(verdict)) && reachability.isSilent;
+      const isUnsentToAll = isCut && progress.attempts === 0 && next === 'give-up';
+      const mayTryAgain = next !== 'give-up' && this.#mayTryAgain(forwarding, next === 'try-again');
+      if (isUnsentToAll || (mayTryAgain && isCut && reachability.hasUnreachableDomains)) {
+        // Paths to other failure domains are likely to be broken, too, though not found so yet.
         await this.#handOver(forwarding);
         return;
       }
-      if (next === 'give-up' || !this.#mayTryAgain(forwarding, next === 'try-again')) {
+      if (!mayTryAgain) {
         this.#finish(forwarding);
         return;
       }
@@ -250,17 +254,17 @@
     const { handovers, responses } = this.#options;
     // The host that sends to a target charges the account.
     this.#settleOnce(forwarding);
-    const response =
-      exchange.handover === undefined
-        ? await handovers.run({
-            exchange,
-            progress,
-            onSend: (send) => {
-              forwarding.send = send;
-            },
-            mayRepeat: () => this.#mayTryAgain(forwarding, false),
-          })
-        : undefined;
+    const mayHandOver = exchange.handover === undefined && progress.cancelledBy === undefined;
+    const response = mayHandOver
+      ? await handovers.run({
+          exchange,
+          progress,
+          onSend: (send) => {
+            forwarding.send = send;
+          },
+          mayRepeat: () => this.#mayTryAgain(forwarding, false),
+        })
+      : undefined;
     if (response === undefined) {
       this.#finish(forwarding);
     } else {
--- a/packages/entry/src/request/target-send.ts
+++ b/packages/entry/src/request/target-send.ts
@@ -122,6 +122,11 @@
     });
   }
 
+  /** Whether it was given up since its target could not be heard. */
+  get isAbandoned(): boolean {
+    return this.#isAbandoned;
+  }
+
   /** Gives the send up if its target cannot be heard and has not begun to answer. */
   abandonIfUnheard(): void {
     const { reachability, target } = this.#options;
