--- a/packages/entry/src/reachability/target-reachability.ts
+++ b/packages/entry/src/reachability/target-reachability.ts
@@ -216,7 +216,7 @@
   }
 
   #updateReachesNone(withTargets: ReadonlySet<string>, now: number): void {
-    const { clock, events, peersServing, onChange } = this.#options;
+    const { events, peersServing, onChange } = this.#options;
     const unreachable = [...withTargets].filter(
       (name) => this.#domains.get(name)?.unreachableSince !== undefined,
     );
@@ -227,7 +227,7 @@
       return;
     }
     const since = this.#noneSince ?? this.#lastHeardAt;
-    this.#noneSince = reachesNone ? clock.now() : undefined;
+    this.#noneSince = reachesNone ? now : undefined;
     events.write({
       event: 'reachability',
       reachesNone,
--- a/packages/entry/src/servers/control-server.ts
+++ b/packages/entry/src/servers/control-server.ts
@@ -18,6 +18,7 @@
 
 const compress = promisify(gzip);
 
+const NOT_FOUND = 404;
 /** Callers' paths begin with a slash. */
 const HANDOVER_PREFIX = `${HANDOVER_PATH_PREFIX}/`;
 /** Callers' headers, and that of the handover. */
@@ -61,9 +62,8 @@
         });
       }
     });
-    this.#app.all(HANDOVER_PATH_PREFIX, (_request, reply) => {
-      reply.hijack();
-    });
+    // Reached by the prefix alone: handovers are handled before.
+    this.#app.all(HANDOVER_PATH_PREFIX, (_request, reply) => reply.code(NOT_FOUND).send());
     this.#peerServer.addMethod(DELTA_METHOD, (params: unknown) => {
       const parsed = deltaParamsSchema.safeParse(params);
       if (!parsed.success) {
--- a/packages/entry/tests/handover/handover-controller.test.ts
+++ b/packages/entry/tests/handover/handover-controller.test.ts
@@ -40,7 +40,7 @@
   const sent: TargetRequest[] = [];
   const route = makeRoute({ kind, mostAttempts: 2 });
   const exchange = makeExchange({ route, deadlineAt: 900, path: '/verdicts/1?x=1' });
-  exchange.request.headers = { host: 'jepu9.example', 'x-key': 'secret' };
+  exchange.request.headers = { host: 'jepu9.example', 'account-key': 'secret' };
   const progress = new RequestProgress(route);
   const controller = new HandoverController({
     clock,
@@ -80,7 +80,7 @@
     expect(sent).toHaveLength(1);
     expect(sent[0]).toMatchObject({
       path: '/handover/verdicts/1?x=1',
-      headers: { host: 'jepu9.example', 'x-key': 'secret' },
+      headers: { host: 'jepu9.example', 'account-key': 'secret' },
     });
     expect(parseHandover(sent[0]?.headers[HANDOVER_HEADER])).toEqual({
       from: 'own',
--- a/packages/entry/tests/servers/control-server.test.ts
+++ b/packages/entry/tests/servers/control-server.test.ts
@@ -38,6 +38,13 @@
   return { view, address: await server.listen('127.0.0.1:0') };
 }
 
+// Guards against a request that is neither a handover nor another call and would hang for ever.
+it('answers a path beside those of handovers', async () => {
+  const { address } = await serveView(1);
+  const response = await fetch(`http://${address}/handover`);
+  expect(response.status).toBe(404);
+});
+
 /** A peer that answers every call by writing as it is told. */
 async function serve(write: (response: ServerResponse, body: string) => void): Promise<string> {
   const server = createServer((request, response) => {
