feat(entry): repeats by service and cause, and the budget that denies one

A host told how often it sent requests again in one sum over all services, and nothing of what it thought it was allowed, so that neither a log nor a metric could tell forgotten spending from a wrong number of hosts or from sends that no budget counts.

ferrylock_repeats_total by service and cause, _repeats_denied_total, and five gauges of the budget: requests, repeats, what is left, the number of hosts it divides by, since when it counts. The line of a failed send has the same when the budget alone denies a repeat.

--- a/packages/entry/src/collect-host-metrics.ts
+++ b/packages/entry/src/collect-host-metrics.ts
@@ -63,6 +63,10 @@
     targetsKnown: services.reduce((sum, { targets }) => sum + targets.size, 0),
     heldBodyBytes: budget.heldBytes,
     rooms: services.map(({ name, room }) => ({ service: name, ...room })),
+    retryBudgets: services.map(({ name, retryBudget }) => ({
+      service: name,
+      ...retryBudget.state,
+    })),
     parts: fairAdmission.parts.slice(0, MAX_PARTS),
     refusedOverPart: fairAdmission.refused,
     logLinesDropped: events.dropped,
--- a/packages/entry/src/events.ts
+++ b/packages/entry/src/events.ts
@@ -19,6 +19,19 @@
   version: z.number().optional(),
 };
 
+/** What a host counts and grants of the repeats of one service. */
+const retryBudgetFields = {
+  /** Requests and repeats of the service that this host counted in the last window. */
+  requests: z.number(),
+  repeats: z.number(),
+  /** Repeats that it would grant, in parts of one. */
+  available: z.number(),
+  /** Number of hosts by which the slack was divided. */
+  hosts: z.number(),
+  /** Time since which this host counts. */
+  ageMilliseconds: z.number(),
+};
+
 /**
  * Events in the log of an entry host. Each stands for one decision or one change of the host's
  * state, with the inputs that determined it.
@@ -205,6 +218,16 @@
     /** Estimated number of requests in flight at the target. */
     load: z.number(),
     beliefAgeMilliseconds: z.number(),
+    /** Present if the request is not sent again for lack of retry budget alone. */
+    retryBudget: z.object(retryBudgetFields).optional(),
+  }),
+  /** Requests of a service are not sent again for lack of retry budget; at most one a second. */
+  z.object({
+    event: z.literal('repeats-denied'),
+    service: z.string(),
+    /** Requests since the last such line of the service. */
+    count: z.number(),
+    ...retryBudgetFields,
   }),
   /** A request was handed over to another entry host, which reaches the targets. */
   z.object({
--- a/packages/entry/src/metrics-text.ts
+++ b/packages/entry/src/metrics-text.ts
@@ -1,9 +1,15 @@
-import type { ConfigurationProblem, FairAdmission, ServiceRoom } from '@ferrylock/routing';
+import type {
+  ConfigurationProblem,
+  FairAdmission,
+  RetryBudgetState,
+  ServiceRoom,
+} from '@ferrylock/routing';
 import type { Histogram } from 'hdr-histogram-js';
 import type { ChangeDelays } from './fleet/change-delays.js';
 import type { StoreProgress } from './fleet/store-progress.js';
 import type { DatagramCounts } from './peers/datagram-counts.js';
 import type { AccountRow } from './request/account-metrics.js';
+import type { ServiceRepeats } from './request/repeat-metrics.js';
 import type { ClassMetrics, RequestMetrics } from './request/request-metrics.js';
 import type { LimitedTarget } from './routing/limited-targets.js';
 import type { RestingTarget } from './routing/resting-targets.js';
@@ -26,6 +32,18 @@
   { name: 'work', value: ({ work }) => work ?? 0 },
 ];
 
+/** Gauges of the retry budget of a service. */
+const BUDGET_GAUGES: readonly { name: string; value: (budget: RetryBudgetState) => number }[] = [
+  { name: 'requests', value: ({ requests }) => requests },
+  { name: 'repeats', value: ({ repeats }) => repeats },
+  { name: 'available', value: ({ available }) => available },
+  { name: 'hosts', value: ({ hosts }) => hosts },
+  {
+    name: 'age_seconds',
+    value: ({ ageMilliseconds }) => ageMilliseconds / MILLISECONDS_PER_SECOND,
+  },
+];
+
 /** Metrics of an entry host other than its request counts. */
 export interface HostMetrics {
   /** Time since the last confirmation of the view; infinite before the first. */
@@ -58,6 +76,8 @@
   readonly handoversRejected: number;
   /** Room of each service over all its targets, as known here. */
   readonly rooms: readonly (ServiceRoom & { readonly service: string })[];
+  /** What this host counts and grants of the repeats of each service. */
+  readonly retryBudgets: readonly (RetryBudgetState & { readonly service: string })[];
   /** Accounts that get less of a service than they ask for. */
   readonly parts: FairAdmission['parts'];
   /** Number of requests refused beyond the parts of accounts. */
@@ -134,7 +154,19 @@
         `ferrylock_account_part_per_second{service="${service}",account="${account}"} ${partPerSecond}`,
     ),
     ...gauge('bodies_held_bytes', host.heldBodyBytes),
-    ...counter('retries_total', metrics.retries),
+    ...counter('retries_total', metrics.repeats.total),
+    '# TYPE ferrylock_repeats_total counter',
+    ...metrics.repeats.rows.flatMap(repeatLines),
+    '# TYPE ferrylock_repeats_denied_total counter',
+    ...metrics.repeats.rows.map(
+      ({ service, denied }) => `ferrylock_repeats_denied_total{service="${service}"} ${denied}`,
+    ),
+    ...BUDGET_GAUGES.flatMap(({ name, value }) => [
+      `# TYPE ferrylock_retry_budget_${name} gauge`,
+      ...host.retryBudgets.map(
+        (budget) => `ferrylock_retry_budget_${name}{service="${budget.service}"} ${value(budget)}`,
+      ),
+    ]),
     ...counter('log_lines_dropped_total', host.logLinesDropped),
     ...counter('unreadable_records_total', host.unreadableRecords),
     ...counter('targets_ended_total', host.targetsEnded),
@@ -202,6 +234,12 @@
   );
 }
 
+function repeatLines({ service, granted }: ServiceRepeats): string[] {
+  return [...granted].map(
+    ([cause, count]) => `ferrylock_repeats_total{service="${service}",cause="${cause}"} ${count}`,
+  );
+}
+
 function restLine({ service, target, milliseconds }: RestingTarget): string {
   const seconds = milliseconds / MILLISECONDS_PER_SECOND;
   return `ferrylock_target_rest_seconds{service="${service}",target="${target}"} ${seconds}`;
--- a/packages/entry/src/request/failed-send-event.ts
+++ b/packages/entry/src/request/failed-send-event.ts
@@ -1,7 +1,8 @@
-import type { TargetState } from '@ferrylock/routing';
+import type { RetryBudgetState, TargetState } from '@ferrylock/routing';
 import type { EntryEvent } from '../events.js';
 import type { RoutedExchange } from './caller-exchange.js';
 import { describeVerdict } from './describe-verdict.js';
+import { roundedBudget } from './denied-repeat-log.js';
 import type { SendVerdict } from './target-send.js';
 
 export interface FailedSend {
@@ -14,11 +15,13 @@
   /** Monotonic time at which the store was last known to hold nothing newer. */
   readonly confirmedAt: number;
   readonly now: number;
+  /** The retry budget, if it alone keeps the request from being sent again. */
+  readonly deniedBy: RetryBudgetState | undefined;
 }
 
 /** Event of a send that did not bring the final answer. */
 export function failedSendEvent(send: FailedSend): Extract<EntryEvent, { event: 'try-failed' }> {
-  const { exchange, target, verdict, attempt, sentAt, confirmedAt, now } = send;
+  const { exchange, target, verdict, attempt, sentAt, confirmedAt, now, deniedBy } = send;
   return {
     event: 'try-failed',
     requestId: exchange.requestId,
@@ -31,5 +34,6 @@
     ...describeVerdict(verdict),
     load: target.load(now),
     beliefAgeMilliseconds: Math.round(now - confirmedAt),
+    ...(deniedBy === undefined ? {} : { retryBudget: roundedBudget(deniedBy) }),
   };
 }
--- a/packages/entry/src/request/request-forwarder.ts
+++ b/packages/entry/src/request/request-forwarder.ts
@@ -6,7 +6,10 @@
 import { affinityKeyOf } from './caller-exchange.js';
 import { hasDisconnected } from './has-disconnected.js';
 import type { ForwardingState } from './forwarding-state.js';
+import { DeniedRepeatLog } from './denied-repeat-log.js';
 import { failedSendEvent } from './failed-send-event.js';
+import type { RepeatCause } from './repeat-metrics.js';
+import { repeatCauseOf } from './repeat-metrics.js';
 import type { Handover } from '../handover/handover-headers.js';
 import { TransferController } from '../transfers/transfer-controller.js';
 import type { Refusal } from './refusal.js';
@@ -24,6 +27,7 @@
   readonly #router: RequestRouter;
   readonly #transfers: TransferController;
   readonly #shares = new TrafficSplitter();
+  readonly #deniedRepeats: DeniedRepeatLog;
   /** Requests that may be sent again, while they are forwarded. */
   readonly #repeatable = new Set<ForwardingState>();
 
@@ -31,6 +35,7 @@
     this.#options = options;
     this.#router = new RequestRouter(options);
     this.#transfers = new TransferController(options);
+    this.#deniedRepeats = new DeniedRepeatLog(options.clock, options.events);
   }
 
   /** @param handover - present if another entry host hands the request over */
@@ -200,6 +205,10 @@
         );
         return;
       }
+      const isPassing = transfer?.isPassing === true;
+      const isWanted = !isPassing && next !== 'give-up';
+      const mayTryAgain =
+        isWanted && this.#mayTryAgain(forwarding, repeatCauseOf(verdict), next === 'try-again');
       events.write(
         failedSendEvent({
           exchange,
@@ -209,14 +218,14 @@
           sentAt: send.sentAt,
           confirmedAt: state.confirmedAt,
           now: clock.now(),
+          deniedBy: isWanted && !mayTryAgain ? service.retryBudget.state : undefined,
         }),
       );
-      if (transfer?.isPassing === true) {
+      if (isPassing) {
         return;
       }
       const isCut = (send.isAbandoned || isUnconnected(verdict)) && reachability.isSilent;
       const isUnsentToAll = isCut && progress.attempts === 0 && next === 'give-up';
-      const mayTryAgain = next !== 'give-up' && this.#mayTryAgain(forwarding, next === 'try-again');
       if (isUnsentToAll || (mayTryAgain && isCut && reachability.hasUnreachableDomains)) {
         // Paths to other failure domains are likely to be broken, too, though not found so yet.
         await this.#handOver(forwarding);
@@ -266,7 +275,7 @@
           onSend: (send) => {
             forwarding.send = send;
           },
-          mayRepeat: () => this.#mayTryAgain(forwarding, false),
+          mayRepeat: () => this.#mayTryAgain(forwarding, 'target-failed', false),
         })
       : undefined;
     if (response === undefined) {
@@ -306,12 +315,14 @@
   /**
    * Checks whether another send may follow; one that repeats an attempt draws on the retry budget.
    */
-  #mayTryAgain({ service }: ForwardingState, isFirstAttempt: boolean): boolean {
+  #mayTryAgain({ service }: ForwardingState, cause: RepeatCause, isFirstAttempt: boolean): boolean {
     const { hosts, metrics } = this.#options;
     if (!isFirstAttempt && !service.retryBudget.tryAcquire(hosts().length)) {
+      metrics.repeats.recordDenied(service.name);
+      this.#deniedRepeats.record(service);
       return false;
     }
-    metrics.retries++;
+    metrics.repeats.recordGranted(service.name, cause);
     return true;
   }
 
--- a/packages/entry/src/request/request-metrics.ts
+++ b/packages/entry/src/request/request-metrics.ts
@@ -1,4 +1,5 @@
 import { AccountMetrics } from './account-metrics.js';
+import { RepeatMetrics } from './repeat-metrics.js';
 import type { TransferEnd } from '../transfers/answer-transfer.js';
 import type { RequestKind } from '@ferrylock/routing';
 import type { Histogram } from 'hdr-histogram-js';
@@ -26,9 +27,9 @@
 export class RequestMetrics {
   inFlight = 0;
   answered = 0;
-  retries = 0;
   readonly classes = new Map<RequestClass, ClassMetrics>();
   readonly accounts = new AccountMetrics();
+  readonly repeats = new RepeatMetrics();
   /** Counts of large answers that were passed on only in part, by how they ended. */
   readonly transferEnds = new Map<TransferEnd, number>();
   /** Large answers that were passed on as they came. */
--- a/packages/entry/tests/metrics-text.test.ts
+++ b/packages/entry/tests/metrics-text.test.ts
@@ -14,6 +14,16 @@
   configurationVersion: 7,
   heldBodyBytes: 0,
   rooms: [{ service: 'verdict-api', slots: 12, load: 3, work: 4.5 }],
+  retryBudgets: [
+    {
+      service: 'verdict-api',
+      requests: 300,
+      repeats: 40,
+      available: 12.5,
+      hosts: 11,
+      ageMilliseconds: 2_500,
+    },
+  ],
   parts: [{ service: 'verdict-api', account: 'haulier', partPerSecond: 2.5 }],
   refusedOverPart: 9,
   configurationProblems: [{ field: 'routes.3.kind', rule: 'expected another', value: '"stream"' }],
@@ -55,6 +65,9 @@
     metrics.recordAnswer('once', 130);
     metrics.recordRefusal('once', 'overload/no', 2);
     metrics.recordRefusal('none', 'unknown-route/no', 1);
+    metrics.repeats.recordGranted('verdict-api', 'target-refused');
+    metrics.repeats.recordGranted('verdict-api', 'server-error');
+    metrics.repeats.recordDenied('verdict-api');
     const lines = metricsText(metrics, HOST_METRICS).split('\n');
     expect(lines).toEqual(
       expect.arrayContaining([
@@ -93,6 +106,14 @@
         'ferrylock_target_limit_per_second{service="verdict-api",target="i-2"} 2.5',
         'ferrylock_target_limit_part_per_second{service="verdict-api",target="i-2"} 0.5',
         'ferrylock_target_limit_used{service="verdict-api",target="i-2"} 2',
+        'ferrylock_retries_total 2',
+        'ferrylock_repeats_total{service="verdict-api",cause="target-refused"} 1',
+        'ferrylock_repeats_denied_total{service="verdict-api"} 1',
+        'ferrylock_retry_budget_requests{service="verdict-api"} 300',
+        'ferrylock_retry_budget_repeats{service="verdict-api"} 40',
+        'ferrylock_retry_budget_available{service="verdict-api"} 12.5',
+        'ferrylock_retry_budget_hosts{service="verdict-api"} 11',
+        'ferrylock_retry_budget_age_seconds{service="verdict-api"} 2.5',
         'ferrylock_target_limit_used_elsewhere{service="verdict-api",target="i-2"} 7',
         'ferrylock_target_rest_seconds{service="verdict-api",target="i-1"} 2.3',
       ]),
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -30,7 +30,7 @@
 export { maxLoadPerSlot } from './max-load-per-slot.js';
 export type { MaxLoadInput } from './max-load-per-slot.js';
 export { RetryBudget } from './retry-budget.js';
-export type { RetryBudgetSettings } from './retry-budget.js';
+export type { RetryBudgetSettings, RetryBudgetState } from './retry-budget.js';
 export {
   callerLimitsSchema,
   configurationProblemSchema,
