fix(routing): a retry budget of credit that expires, instead of spending that hosts forget

What callers saw: nothing wrong in their answers; the users counted more repeats at one service than all hosts together may make.

Cause: each host held its repeats of the last 10 s below 0.8 x (0.2 x its requests of those 10 s + 64 / registered hosts), and nobody summed. What a host has saved in 10 s it spends in one failure; then it ends, or its callers go elsewhere, and the next host saves the same from the same callers and spends it in the same window. A start forgets, and a number of hosts that is too small for a moment multiplies the 64. A limit of the fleet kept by each host alone, without memory, by a count that may be wrong.

Why it works: a request earns credit at the one host that has it, and the credit expires within 0.2 of a window, so that the repeats of a window come from the requests of 1.2 windows whatever hosts do, know or forget. The slack is earned by time and by the share of callers, less the parts of registered hosts that are not heard; not in a host's first 6 s.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -187,7 +187,6 @@
       metrics: this.metrics,
       ownName: settings.name,
       isLagging: () => eventLoopDelay.isLagging,
-      hosts: () => this.#member.hostNames,
       largeHosts: () => this.#largeHostNames(),
     });
     const onFailure = (error: unknown): void => {
--- a/packages/entry/src/events.ts
+++ b/packages/entry/src/events.ts
@@ -26,8 +26,8 @@
   repeats: z.number(),
   /** Repeats that it would grant, in parts of one. */
   available: z.number(),
-  /** Number of hosts by which the slack was divided. */
-  hosts: z.number(),
+  /** Part of the fleet's slack that this host has, from 0 to 1. */
+  slackShare: z.number(),
   /** Time since which this host counts. */
   ageMilliseconds: z.number(),
 };
--- a/packages/entry/src/fleet-member.ts
+++ b/packages/entry/src/fleet-member.ts
@@ -23,6 +23,7 @@
 import type { CheckConnection } from './reachability/check-connection.js';
 import { TargetReachability } from './reachability/target-reachability.js';
 import { PlacementController } from './routing/placement-controller.js';
+import { RetryShareController } from './routing/retry-share-controller.js';
 import { SuspectController } from './suspects/suspect-controller.js';
 import { RoutingState } from './routing/routing-state.js';
 import { WatcherSelection } from './watcher-selection.js';
@@ -75,6 +76,7 @@
   readonly #storeHealth: StoreHealth;
   readonly #loads: PeerLoads;
   readonly #placement: PlacementController;
+  readonly #retryShares: RetryShareController;
   readonly #exchange: PeerExchange;
   readonly #storeWatch: StoreWatch;
   readonly #storeRestore: StoreRestoreController;
@@ -149,6 +151,13 @@
     this.state.onConfiguration(({ accounts = [] }) => {
       this.accounts.quotas.setAccounts(accounts);
     });
+    this.#retryShares = new RetryShareController({
+      clock,
+      state: this.state,
+      ownName: settings.name,
+      hosts: () => this.#hosts,
+      isAlive: (host) => this.peers.isAlive(host),
+    });
     this.#placement = new PlacementController({
       clock,
       view,
@@ -156,6 +165,9 @@
       state: this.state,
       ownName: settings.name,
       ownRegion: settings.region,
+      onDemand: (own, fleet) => {
+        this.#retryShares.update(own, fleet);
+      },
     });
     const storeAnsweredAt = (): number => this.#storeHealth.lastResponseAt;
     this.viewExchange = new ViewExchange({
@@ -284,6 +296,7 @@
     const names = this.#hosts.map(({ name }) => name);
     this.#capacities = new Map(this.#hosts.map(({ name, capacity }) => [name, capacity]));
     this.#hostNames = [...new Set([this.#options.settings.name, ...names])];
+    this.#retryShares.recordHosts(this.#hostNames.length);
   }
 
   #registeredIncarnation(name: string): string | undefined {
--- a/packages/entry/src/metrics-text.ts
+++ b/packages/entry/src/metrics-text.ts
@@ -37,7 +37,7 @@
   { name: 'requests', value: ({ requests }) => requests },
   { name: 'repeats', value: ({ repeats }) => repeats },
   { name: 'available', value: ({ available }) => available },
-  { name: 'hosts', value: ({ hosts }) => hosts },
+  { name: 'slack_share', value: ({ slackShare }) => slackShare },
   {
     name: 'age_seconds',
     value: ({ ageMilliseconds }) => ageMilliseconds / MILLISECONDS_PER_SECOND,
--- a/packages/entry/src/request/denied-repeat-log.ts
+++ b/packages/entry/src/request/denied-repeat-log.ts
@@ -4,8 +4,9 @@
 import type { EventLog } from '../event-log.js';
 
 const LOG_INTERVAL_MILLISECONDS = 1_000;
-/** Decimal digits of what is left of a retry budget. */
+/** Decimal digits of what is left of a retry budget, and of parts of the fleet's slack. */
 const DIGITS = 2;
+const SHARE_DIGITS = 4;
 
 /** Denials of one service since its last line. */
 interface ServiceDenials {
@@ -43,6 +44,7 @@
   return {
     ...state,
     available: Number(state.available.toFixed(DIGITS)),
+    slackShare: Number(state.slackShare.toFixed(SHARE_DIGITS)),
     ageMilliseconds: Math.round(state.ageMilliseconds),
   };
 }
--- a/packages/entry/src/request/request-forwarder-options.ts
+++ b/packages/entry/src/request/request-forwarder-options.ts
@@ -38,8 +38,6 @@
   readonly ownName: string;
   /** True if the event loop was delayed lately, so that callers may have disconnected unnoticed. */
   readonly isLagging: () => boolean;
-  /** Names of all entry hosts including this one; the same array until the set changes. */
-  readonly hosts: () => readonly string[];
   /** Names of the large entry hosts, which send most requests; the same array until they change. */
   readonly largeHosts: () => readonly string[];
 }
--- a/packages/entry/src/request/request-forwarder.ts
+++ b/packages/entry/src/request/request-forwarder.ts
@@ -316,8 +316,8 @@
    * Checks whether another send may follow; one that repeats an attempt draws on the retry budget.
    */
   #mayTryAgain({ service }: ForwardingState, cause: RepeatCause, isFirstAttempt: boolean): boolean {
-    const { hosts, metrics } = this.#options;
-    if (!isFirstAttempt && !service.retryBudget.tryAcquire(hosts().length)) {
+    const { metrics } = this.#options;
+    if (!isFirstAttempt && !service.retryBudget.tryAcquire()) {
       metrics.repeats.recordDenied(service.name);
       this.#deniedRepeats.record(service);
       return false;
--- a/packages/entry/src/routing/placement-controller.ts
+++ b/packages/entry/src/routing/placement-controller.ts
@@ -17,6 +17,8 @@
   readonly state: RoutingState;
   readonly ownName: string;
   readonly ownRegion: string;
+  /** Called with the demand of this host's callers, and of all. */
+  readonly onDemand: (own: RequestRates, fleet: RegionDemand) => void;
 }
 
 /** Updates the placement of keys from the demand of each region's callers. */
@@ -37,7 +39,7 @@
 
   /** Updates the placement if it is due; call a few times per second. */
   sweep(): void {
-    const { clock, state } = this.#options;
+    const { clock, state, onDemand } = this.#options;
     const now = clock.now();
     const { ownDemand } = this;
     const isIdle = Object.keys(ownDemand).length === 0;
@@ -47,6 +49,7 @@
     this.#updatedAt = now;
     const demand = this.#demand(ownDemand);
     state.updatePlacement((service, region) => demand.of(service, region));
+    onDemand(ownDemand, demand);
   }
 
   /** Demand by region: as reported by relays, else summed over the reports of hosts. */
--- a/packages/entry/src/routing/region-demand.ts
+++ b/packages/entry/src/routing/region-demand.ts
@@ -13,6 +13,12 @@
     }
   }
 
+  /** Demand for a service in all regions. */
+  total(service: string): number {
+    const rates = [...this.#rates.values()].map((ofRegion) => ofRegion.get(service) ?? 0);
+    return rates.reduce((sum, rate) => sum + rate, 0);
+  }
+
   /** Demand for a service in a region; undefined if no host of the region has reported. */
   of(service: string, region: string): number | undefined {
     const ofRegion = this.#rates.get(region);
--- a/packages/entry/tests/request/denied-repeat-log.test.ts
+++ b/packages/entry/tests/request/denied-repeat-log.test.ts
@@ -5,6 +5,8 @@
 import { EventLog } from '../../src/index.js';
 import { DeniedRepeatLog } from '../../src/request/denied-repeat-log.js';
 
+type Service = Parameters<DeniedRepeatLog['record']>[0];
+
 const SETTINGS = { ratio: 0.2, slack: 10, windowMilliseconds: 10_000 };
 
 it('writes one line per service and second, with the denials since the line before', async () => {
@@ -14,8 +16,10 @@
     lines.push({ event, ...fields });
   };
   const log = new DeniedRepeatLog(clock, new EventLog({ ...silentLogger, info }));
-  const ledger = { name: 'ledger', retryBudget: new RetryBudget(clock, SETTINGS) };
-  const orders = { name: 'orders', retryBudget: new RetryBudget(clock, SETTINGS) };
+  const [ledger, orders] = ['ledger', 'orders'].map((name) => ({
+    name,
+    retryBudget: new RetryBudget({ clock, bound: SETTINGS, name }),
+  })) as [Service, Service];
   for (let denial = 0; denial < 30; denial++) {
     log.record(ledger);
   }
--- a/packages/entry/tests/request/target-send.test.ts
+++ b/packages/entry/tests/request/target-send.test.ts
@@ -87,6 +87,7 @@
   const service = new ServiceTargets('verdict-api', {
     clock,
     overflows: new OverflowBudget({ clock, bound, ownName: 'host-1' }),
+    ownName: 'host-1',
     retryBudget: { ratio: 0.2, slack: 10, windowMilliseconds: 10_000 },
     regionOf: (failureDomain) => failureDomain,
     ownRegion: 'jylland',
--- a/packages/entry/tests/routing/placement-controller.test.ts
+++ b/packages/entry/tests/routing/placement-controller.test.ts
@@ -27,6 +27,7 @@
     state,
     ownName: 'host-1',
     ownRegion: 'jylland',
+    onDemand: () => undefined,
   });
   const service = state.service(makeTargetRecord().service);
   if (service === undefined) {
--- a/packages/experiment/src/caller-requests.ts
+++ b/packages/experiment/src/caller-requests.ts
@@ -123,9 +123,8 @@
     } else {
       state.recordShed(this.#options.time.now());
     }
-    const hosts = this.#options.scenario.deployment.hosts;
     const mayTry = tried.size < asked.route.mostAttempts;
-    if (mayTry && host.service(service).retryBudget.tryAcquire(hosts)) {
+    if (mayTry && host.service(service).retryBudget.tryAcquire()) {
       this.#tryTarget(asked, host, tried);
     } else {
       this.#refuse(asked);
--- a/packages/experiment/src/emulated-host.ts
+++ b/packages/experiment/src/emulated-host.ts
@@ -70,10 +70,19 @@
     if (known !== undefined) {
       return known;
     }
-    const { time, region, isEvacuated, disabledMechanisms: leftOut, scenario } = this.options;
+    const {
+      time,
+      name: ownName,
+      region,
+      isEvacuated,
+      disabledMechanisms: leftOut,
+      scenario,
+      hosts,
+    } = this.options;
     const created = new ServiceTargets(name, {
       overflows: this.#overflows,
       clock: time,
+      ownName,
       retryBudget: RETRY_BOUND,
       regionOf: (failureDomain) => failureDomain,
       ownRegion: region,
@@ -82,6 +91,7 @@
       limits: NO_LIMITS,
       disabledMechanisms: leftOut,
     });
+    created.retryBudget.slackShare = 1 / hosts.length;
     created.settings = {
       name,
       healthPath: '/health',
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -29,6 +29,8 @@
 export { pickWeightedService } from './pick-weighted-service.js';
 export { maxLoadPerSlot } from './max-load-per-slot.js';
 export type { MaxLoadInput } from './max-load-per-slot.js';
+export { HostShare } from './host-share.js';
+export type { FleetRates } from './host-share.js';
 export { RetryBudget } from './retry-budget.js';
 export type { RetryBudgetSettings, RetryBudgetState } from './retry-budget.js';
 export {
--- a/packages/routing/src/service-targets.ts
+++ b/packages/routing/src/service-targets.ts
@@ -34,6 +34,8 @@
 
 export interface ServiceTargetsOptions {
   readonly clock: Clock;
+  /** Name of this host. */
+  readonly ownName: string;
   readonly retryBudget: RetryBudgetSettings;
   /** Maps a failure domain to its region. */
   readonly regionOf: (failureDomain: string) => string;
@@ -112,7 +114,11 @@
       placement: this.placement,
       roundTripMilliseconds: ({ record }) => this.roundTripTimes.of(record.failureDomain),
     });
-    this.retryBudget = new RetryBudget(options.clock, options.retryBudget);
+    this.retryBudget = new RetryBudget({
+      clock: options.clock,
+      bound: options.retryBudget,
+      name: `${options.ownName} ${name}`,
+    });
     this.coldStartLimiter = new ColdStartLimiter(options.clock);
     this.requestRate = new RequestRate(options.clock);
   }
--- a/packages/routing/tests/repeat-fleet.ts
+++ b/packages/routing/tests/repeat-fleet.ts
@@ -1,6 +1,6 @@
 import { FakeClock } from '@ferrylock/test-utils';
 import { pickOne, randomIndex, SeededRandom } from '@ferrylock/utils';
-import { RetryBudget } from '../src/index.js';
+import { HostShare, RequestRate, RetryBudget } from '../src/index.js';
 import type { RetryBudgetSettings } from '../src/index.js';
 
 export const SETTINGS: RetryBudgetSettings = {
@@ -15,6 +15,8 @@
 const GROUPS_PER_HOST = 8;
 /** Repeats that one failing request wants. */
 const WANTED_REPEATS = 2;
+/** Age of what a host hears of the others' requests. */
+const STEPS_PER_REPORT = 10;
 
 /** Clock of one host, which stands still while the host is suspended. */
 class HostClock extends FakeClock {
@@ -47,8 +49,10 @@
 interface EmulatedHost {
   readonly clock: HostClock;
   readonly budget: RetryBudget;
-  /** Number of hosts that it knows to be registered. */
-  knownHosts: number;
+  readonly rate: RequestRate;
+  readonly share: HostShare;
+  /** Number of hosts that it hears, itself included. */
+  heardHosts: number;
 }
 
 export interface RepeatFleetOptions {
@@ -79,6 +83,8 @@
   /** Index of the host that each group of callers uses. */
   readonly #groups: number[];
   #requests = 0;
+  /** Requests per second of the whole fleet, by step. */
+  readonly #reports: number[] = [];
 
   constructor(options: RepeatFleetOptions) {
     this.#options = options;
@@ -99,7 +105,11 @@
   /** Starts a host, or a new process of one. */
   start(index: number, knownHosts = this.#options.hosts): void {
     const clock = new HostClock(this);
-    this.#hosts[index] = { clock, budget: new RetryBudget(clock, SETTINGS), knownHosts };
+    const budget = new RetryBudget({ clock, bound: SETTINGS, name: `host ${index}` });
+    const share = new HostShare(clock);
+    share.recordRegistered(knownHosts);
+    const rate = new RequestRate(clock);
+    this.#hosts[index] = { clock, budget, rate, share, heardHosts: knownHosts };
   }
 
   /** Ends a process; its callers turn to other hosts. */
@@ -116,11 +126,21 @@
     this.#hosts[index]?.clock.resume();
   }
 
-  /** Sets how many hosts each host knows to be registered. */
+  /** Sets how many hosts each host knows to be registered, and hears. */
   setKnownHosts(count: number): void {
     for (const host of this.#hosts) {
       if (host !== undefined) {
-        host.knownHosts = count;
+        host.share.recordRegistered(count);
+        host.heardHosts = count;
+      }
+    }
+  }
+
+  /** Sets how many hosts each host hears, of those that are registered. */
+  setHeardHosts(count: number): void {
+    for (const host of this.#hosts) {
+      if (host !== undefined) {
+        host.heardHosts = count;
       }
     }
   }
@@ -154,6 +174,7 @@
   #runStep(): void {
     const counts: StepCounts = { requests: 0, repeats: 0 };
     this.steps.push(counts);
+    this.#updateShares();
     const perStep =
       (this.load * this.#options.requestsPerSecond * STEP_MILLISECONDS) / MILLISECONDS_PER_SECOND;
     this.#requests += perStep * 2 * this.random.next();
@@ -172,17 +193,32 @@
       return 0;
     }
     host.budget.recordRequest();
+    host.rate.record();
     let repeats = 0;
     while (
       repeats < WANTED_REPEATS &&
       this.random.next() < this.failing &&
-      host.budget.tryAcquire(host.knownHosts)
+      host.budget.tryAcquire()
     ) {
       repeats++;
     }
     return repeats;
   }
 
+  /** Tells each host its part, by what it hears of the others' requests. */
+  #updateShares(): void {
+    const rates = this.#hosts.map((host) => host?.rate.perSecond ?? 0);
+    this.#reports.push(rates.reduce((sum, rate) => sum + rate, 0));
+    const reported = this.#reports.at(-STEPS_PER_REPORT) ?? 0;
+    for (const [index, host] of this.#hosts.entries()) {
+      if (host !== undefined) {
+        const own = rates[index] ?? 0;
+        const heard = own + ((host.heardHosts - 1) / this.size) * reported;
+        host.budget.slackShare = host.share.of({ own, heard, heardHosts: host.heardHosts });
+      }
+    }
+  }
+
   /** Repeats in the worst window, as a part of what is allowed for it. */
   get worstUse(): number {
     const starts = this.steps.map((_, start) => start);
--- a/packages/routing/tests/retry-budget-fleet.test.ts
+++ b/packages/routing/tests/retry-budget-fleet.test.ts
@@ -85,6 +85,12 @@
     fleet.setKnownHosts(fleet.size / 2);
     fail(fleet, 15_000);
   },
+  'halves do not hear each other': (fleet) => {
+    fleet.setHeardHosts(fleet.size / 2);
+    fail(fleet, 15_000);
+    fleet.setHeardHosts(fleet.size);
+    fail(fleet, 5_000);
+  },
   'hosts are suspended': (fleet) => {
     for (const index of some(fleet)) {
       fleet.suspend(index);
@@ -116,9 +122,11 @@
     },
     () => {
       fleet.setKnownHosts(Math.ceil(fleet.size * random.next()));
+      fail(fleet, between(0, 4_000));
+      fleet.setKnownHosts(fleet.size);
     },
     () => {
-      fleet.setKnownHosts(fleet.size);
+      fleet.setHeardHosts(Math.ceil(fleet.size * random.next()));
     },
     () => {
       fleet.load = between(0.45, 1.55);
@@ -132,6 +140,7 @@
   for (let index = 0; index < 16; index++) {
     disruptions[randomIndex(random, disruptions.length)]?.(fleet);
     fleet.run(between(0, 2_000));
+    fleet.setKnownHosts(fleet.size);
     fail(fleet, between(200, 3_000), between(0.2, 1));
   }
 };
--- a/packages/routing/tests/service-targets.test.ts
+++ b/packages/routing/tests/service-targets.test.ts
@@ -19,6 +19,7 @@
   const service = new ServiceTargets('verdict-api', {
     clock,
     overflows,
+    ownName: 'host-1',
     retryBudget: { ratio: 0.2, slack: 10, windowMilliseconds: 10_000 },
     regionOf: (failureDomain) => REGIONS[failureDomain] ?? failureDomain,
     ownRegion: 'jylland',
--- a/packages/routing/tests/two-regions.ts
+++ b/packages/routing/tests/two-regions.ts
@@ -16,6 +16,7 @@
   const service = new ServiceTargets('verdict-api', {
     clock,
     overflows: new OverflowBudget({ clock, bound: shiftLimit, ownName: 'host-1' }),
+    ownName: 'host-1',
     retryBudget: { ratio: 0.2, slack: 10, windowMilliseconds: 10_000 },
     regionOf: (failureDomain) => REGIONS[failureDomain] ?? failureDomain,
     ownRegion: 'jylland',
--- a/packages/test-utils/src/words/word-fleet.ts
+++ b/packages/test-utils/src/words/word-fleet.ts
@@ -148,7 +148,7 @@
     const tried = new Set<string>();
     while (tried.size < MOST_SENDS) {
       const isAgain = tried.size > 0;
-      if (isAgain && !service.retryBudget.tryAcquire(this.fleet.hosts.length)) {
+      if (isAgain && !service.retryBudget.tryAcquire()) {
         return 'refused';
       }
       const target = this.#choose(asked, service, route, tried);
