fix(entry): a request that is handed over earns repeats once, at the host that its caller asked

Cause: a request was counted for the retry budget with its first send at the host that its caller asked, and again at the host that it was handed over to, so that it earned twice.

Demand stays with the host that sends.

--- a/packages/entry/src/request/forwarding-state.ts
+++ b/packages/entry/src/request/forwarding-state.ts
@@ -12,7 +12,7 @@
   readonly progress: RequestProgress;
   /** Send to a target or handover in flight. */
   send: TargetSend | RequestHandover | undefined;
-  /** Whether it counts as a request for the service, as it does at the host that sends it. */
+  /** Whether it counts as demand for the service, as it does at the host that sends it. */
   isCounted: boolean;
   /** Whether the account's usage is settled. */
   isSettled: boolean;
--- a/packages/entry/src/request/request-forwarder.ts
+++ b/packages/entry/src/request/request-forwarder.ts
@@ -79,6 +79,9 @@
       responses.refuse(exchange, { reason: 'no-target', detail, ran: 'no' });
       return;
     }
+    if (exchange.handover === undefined) {
+      service.retryBudget.recordRequest();
+    }
     const progress = new RequestProgress(exchange.route, exchange.handover?.attempts);
     const forwarding: ForwardingState = {
       exchange,
@@ -238,11 +241,10 @@
     }
   }
 
-  /** Counts the request for its service, once. */
+  /** Counts the request as demand for its service, once. */
   #count(forwarding: ForwardingState): void {
     if (!forwarding.isCounted) {
       forwarding.isCounted = true;
-      forwarding.service.retryBudget.recordRequest();
       forwarding.service.requestRate.record();
     }
   }
