fix(entry): a repeat is charged when a send may have reached a target, once

What callers saw: a request whose second send found a closed port was charged again for its third, and refused if the budget held one repeat; others of the service had that one less.

Cause: each decision to send again took one from the budget, also if the send it allowed reached no target, if no target was found, or if the caller left meanwhile.

Evidence: one target resets, the others refuse connections: two repeats taken, none arrived (test failed before). Now a request holds one permission until a send may have arrived, and gives it back at its end.

--- a/packages/entry/src/request/request-forwarder.ts
+++ b/packages/entry/src/request/request-forwarder.ts
@@ -8,16 +8,17 @@
 import type { ForwardingState } from './forwarding-state.js';
 import { DeniedRepeatLog } from './denied-repeat-log.js';
 import { failedSendEvent } from './failed-send-event.js';
-import type { RepeatCause } from './repeat-metrics.js';
 import { repeatCauseOf } from './repeat-metrics.js';
 import type { Handover } from '../handover/handover-headers.js';
 import { TransferController } from '../transfers/transfer-controller.js';
 import type { Refusal } from './refusal.js';
 import { overPart, targetsUnreachable, tooManyBytesHeld } from './refusals.js';
 import type { RequestForwarderOptions } from './request-forwarder-options.js';
+import { RepeatPermit } from './repeat-permit.js';
 import { RequestRouter } from './request-router.js';
+import type { NextStep } from './request-progress.js';
 import { RequestProgress } from './request-progress.js';
-import type { CancelCause } from './target-send.js';
+import type { CancelCause, SendVerdict } from './target-send.js';
 import { isUnconnected, TargetSend } from './target-send.js';
 import { withExpectedWait } from './with-expected-wait.js';
 
@@ -87,6 +88,11 @@
       exchange,
       service,
       progress,
+      repeatPermit: new RepeatPermit({
+        service,
+        metrics: this.#options.metrics.repeats,
+        denied: this.#deniedRepeats,
+      }),
       send: undefined,
       isCounted: false,
       isSettled: false,
@@ -123,6 +129,7 @@
     } finally {
       cancelTimer();
       this.#repeatable.delete(forwarding);
+      forwarding.repeatPermit.release();
       exchange.response.off('close', onClose);
       this.#settleOnce(forwarding);
     }
@@ -169,7 +176,7 @@
   }
 
   async #sendToTargets(forwarding: ForwardingState): Promise<void> {
-    const { exchange, service, progress, transfer } = forwarding;
+    const { exchange, service, progress, repeatPermit, transfer } = forwarding;
     const { reachability, events, state, clock } = this.#options;
     for (;;) {
       const mayRun = await this.#mayRun(forwarding);
@@ -193,7 +200,7 @@
       });
       forwarding.send = send;
       const verdict = await send.verdict;
-      const next = progress.recordVerdict(verdict);
+      const next = recordVerdict(forwarding, verdict);
       if (verdict.kind === 'answered' && next === 'deliver') {
         this.#options.responses.deliver(
           exchange,
@@ -211,7 +218,7 @@
       const isPassing = transfer?.isPassing === true;
       const isWanted = !isPassing && next !== 'give-up';
       const mayTryAgain =
-        isWanted && this.#mayTryAgain(forwarding, repeatCauseOf(verdict), next === 'try-again');
+        isWanted && repeatPermit.mayTryAgain(repeatCauseOf(verdict), next === 'try-again');
       events.write(
         failedSendEvent({
           exchange,
@@ -265,7 +272,7 @@
   }
 
   async #handOver(forwarding: ForwardingState): Promise<void> {
-    const { exchange, progress } = forwarding;
+    const { exchange, progress, repeatPermit } = forwarding;
     const { handovers, responses } = this.#options;
     // The host that sends to a target charges the account.
     this.#settleOnce(forwarding);
@@ -277,12 +284,16 @@
           onSend: (send) => {
             forwarding.send = send;
           },
-          mayRepeat: () => this.#mayTryAgain(forwarding, 'target-failed', false),
+          mayRepeat: () => {
+            repeatPermit.use();
+            return repeatPermit.mayTryAgain('target-failed', false);
+          },
         })
       : undefined;
     if (response === undefined) {
       this.#finish(forwarding);
     } else {
+      repeatPermit.use();
       responses.deliver(exchange, response, originElsewhere(progress.attempts));
     }
   }
@@ -314,20 +325,6 @@
     });
   }
 
-  /**
-   * Checks whether another send may follow; one that repeats an attempt draws on the retry budget.
-   */
-  #mayTryAgain({ service }: ForwardingState, cause: RepeatCause, isFirstAttempt: boolean): boolean {
-    const { metrics } = this.#options;
-    if (!isFirstAttempt && !service.retryBudget.tryAcquire()) {
-      metrics.repeats.recordDenied(service.name);
-      this.#deniedRepeats.record(service);
-      return false;
-    }
-    metrics.repeats.recordGranted(service.name, cause);
-    return true;
-  }
-
   /** Sends the final response after the last send. */
   #finish(forwarding: ForwardingState): void {
     const { exchange, service, progress } = forwarding;
@@ -346,3 +343,16 @@
     }
   }
 }
+
+/** Records the verdict of a send, and that a send that may have arrived uses the permit for it. */
+function recordVerdict(
+  { progress, repeatPermit }: ForwardingState,
+  verdict: SendVerdict,
+): NextStep {
+  const { attempts } = progress;
+  const next = progress.recordVerdict(verdict);
+  if (progress.attempts > attempts) {
+    repeatPermit.use();
+  }
+  return next;
+}
--- a/packages/routing/src/retry-budget.ts
+++ b/packages/routing/src/retry-budget.ts
@@ -103,6 +103,12 @@
     return true;
   }
 
+  /** Returns a retry that was acquired and not sent. */
+  release(): void {
+    this.#repeats.add(-1);
+    this.#ofRequests++;
+  }
+
   get state(): RetryBudgetState {
     this.#refill();
     return {
