--- a/packages/test-utils/src/memory-fleet-store.ts
+++ b/packages/test-utils/src/memory-fleet-store.ts
@@ -294,6 +294,13 @@
     return Ok(undefined);
   }
 
+  /** Lets all leases lapse at once. */
+  lapseLeases(): void {
+    for (const id of [...this.#leases.keys()]) {
+      this.#end(id);
+    }
+  }
+
   #countFormer(lease: HostLease): void {
     if (lease.epoch !== this.epoch) {
       this.formerLeaseCalls.push(this.#clock.now());
