fix(entry): cold targets are divided by hosts that were registered until lately, too

What callers would see: a cold target gets several times what it bears, and refuses or is late.

Cause, the same as of the retry budget: a limit of all hosts is divided by the hosts that this one knows at the moment. While the leases of all hosts lapse, as after a silent store, each knows of itself and a few others until they register again, 2 to 6 s later, and is one of four senders to each cold target in a smaller fleet.

A host counts for 7 s after its entry is gone. What it costs: the part of a host that ended is idle for these seconds, after the 12 s of its lease.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -315,7 +315,7 @@
 
   /** Names of the large hosts; the same array while the fleet does not change. */
   #largeHostNames(): readonly string[] {
-    const { hosts, hostNames } = this.#member;
+    const { recentHosts: hosts, hostNames } = this.#member;
     if (this.#largeHosts.of !== hosts) {
       const large = largeHosts(hosts, (record) => record).map(({ name }) => name);
       this.#largeHosts = { of: hosts, names: large.length > 0 ? large : hostNames };
--- a/packages/entry/src/fleet-member.ts
+++ b/packages/entry/src/fleet-member.ts
@@ -7,6 +7,7 @@
 import type { FleetStore } from './fleet/fleet-store.js';
 import { FleetView } from './fleet/fleet-view.js';
 import { ChangeDelays } from './fleet/change-delays.js';
+import { RecentHosts } from './fleet/recent-hosts.js';
 import { HostRegistration } from './fleet/host-registration.js';
 import { StoreHealth } from './fleet/store-health.js';
 import type { StoreProgress } from './fleet/store-progress.js';
@@ -81,6 +82,7 @@
   readonly #storeWatch: StoreWatch;
   readonly #storeRestore: StoreRestoreController;
   #registration: HostRegistration | undefined;
+  readonly #recentHosts: RecentHosts;
   #hosts: readonly EntryHostRecord[] = [];
   #hostNames: readonly string[];
   #capacities: ReadonlyMap<string, number> = new Map();
@@ -91,6 +93,7 @@
     const { settings, clock, events } = options;
     const view = new FleetView(settings.disabledMechanisms);
     this.view = view;
+    this.#recentHosts = new RecentHosts(clock);
     this.#hostNames = [settings.name];
     this.#tasks = new BackgroundTasks(events.logger);
     this.#storeHealth = new StoreHealth(clock, events);
@@ -243,6 +246,11 @@
     return this.#hosts;
   }
 
+  /** Entry hosts that are registered, or were until lately; the same array while they do not change. */
+  get recentHosts(): readonly EntryHostRecord[] {
+    return this.#recentHosts.hosts;
+  }
+
   /** Names of all registered hosts and of this one; the same array while they do not change. */
   get hostNames(): readonly string[] {
     return this.#hostNames;
@@ -293,6 +301,7 @@
    */
   #updateHosts(): void {
     this.#hosts = this.view.records('entryHost').map(({ host }) => host);
+    this.#recentHosts.update(this.#hosts);
     const names = this.#hosts.map(({ name }) => name);
     this.#capacities = new Map(this.#hosts.map(({ name, capacity }) => [name, capacity]));
     this.#hostNames = [...new Set([this.#options.settings.name, ...names])];
--- a/packages/entry/src/request/request-forwarder.ts
+++ b/packages/entry/src/request/request-forwarder.ts
@@ -14,11 +14,11 @@
 import type { Refusal } from './refusal.js';
 import { overPart, targetsUnreachable, tooManyBytesHeld } from './refusals.js';
 import type { RequestForwarderOptions } from './request-forwarder-options.js';
+import { recordVerdict } from './record-verdict.js';
 import { RepeatPermit } from './repeat-permit.js';
 import { RequestRouter } from './request-router.js';
-import type { NextStep } from './request-progress.js';
 import { RequestProgress } from './request-progress.js';
-import type { CancelCause, SendVerdict } from './target-send.js';
+import type { CancelCause } from './target-send.js';
 import { isUnconnected, TargetSend } from './target-send.js';
 import { withExpectedWait } from './with-expected-wait.js';
 
@@ -343,16 +343,3 @@
     }
   }
 }
-
-/** Records the verdict of a send, and that a send that may have arrived uses the permit for it. */
-function recordVerdict(
-  { progress, repeatPermit }: ForwardingState,
-  verdict: SendVerdict,
-): NextStep {
-  const { attempts } = progress;
-  const next = progress.recordVerdict(verdict);
-  if (progress.attempts > attempts) {
-    repeatPermit.use();
-  }
-  return next;
-}
