--- a/packages/entry/src/request/record-verdict.ts
+++ b/packages/entry/src/request/record-verdict.ts
@@ -3,8 +3,8 @@
 import type { SendVerdict } from './target-send.js';
 
 /** Records the verdict of a send, and that a send that may have arrived uses the permit for it. */
-function recordVerdict(
-  { progress, repeatPermit }: ForwardingState,
+export function recordVerdict(
+  { progress, repeatPermit }: Pick<ForwardingState, 'progress' | 'repeatPermit'>,
   verdict: SendVerdict,
 ): NextStep {
   const { attempts } = progress;
