fix(entry): a request that a target refused for another host is repeated within the budget

What callers saw: nothing; a target that refuses gets a further arrival that no budget counts.

Cause: a host that reaches no target hands a request over; the other host's target refuses it, so that it comes back 'not run'. The first host took it for never sent, told the next host of no attempts and asked no budget. Found by reading the permit's life before the landing: since a permit was even given back in that case.

Evidence: the test failed before in both cases (attempts 0 for 1; a second host without budget). Now such a refusal counts as an attempt, the next host is asked within the budget and told of it, and a permit is used up with the handover.

--- a/packages/entry/src/handover/handover-controller.ts
+++ b/packages/entry/src/handover/handover-controller.ts
@@ -1,6 +1,7 @@
 import type { RoutedExchange } from '../request/caller-exchange.js';
+import type { Refusal } from '../request/refusal.js';
 import { isByConfiguration } from '../request/refusal.js';
-import type { RequestProgress } from '../request/request-progress.js';
+import type { NextStep, RequestProgress } from '../request/request-progress.js';
 import type { TargetResponse } from '../request/target-client.js';
 import type { HandoverVerdict, RequestHandoverOptions } from './request-handover.js';
 import { RequestHandover } from './request-handover.js';
@@ -58,12 +59,11 @@
     { progress, mayRepeat }: HandoverRequest,
   ): boolean {
     switch (verdict.kind) {
-      case 'refused':
-        // This host has admitted the request by its own configuration, which may be newer.
-        if (!isByConfiguration(verdict.refusal)) {
-          progress.recordRefusal(verdict.refusal);
-        }
-        return verdict.refusal.ran === 'no' && progress.cancelledBy === undefined;
+      case 'refused': {
+        const next = recordRefusal(verdict.refusal, progress);
+        const mayContinue = verdict.refusal.ran === 'no' && progress.cancelledBy === undefined;
+        return mayContinue && (next === 'try-again' || (next !== 'give-up' && mayRepeat()));
+      }
       case 'lost':
         return progress.recordLostHandover(verdict.detail) !== 'give-up' && mayRepeat();
       case 'ended':
@@ -72,3 +72,17 @@
     }
   }
 }
+
+/** Records a refusal by another host; one of a target tells that the request has reached it. */
+function recordRefusal(refusal: Refusal, progress: RequestProgress): NextStep {
+  const { reason, detail } = refusal;
+  const next =
+    reason === 'target-refused'
+      ? progress.recordVerdict({ kind: 'not-run', reason, detail })
+      : 'try-again';
+  // This host has admitted the request by its own configuration, which may be newer.
+  if (!isByConfiguration(refusal)) {
+    progress.recordRefusal(refusal);
+  }
+  return next;
+}
--- a/packages/entry/src/request/request-forwarder.ts
+++ b/packages/entry/src/request/request-forwarder.ts
@@ -277,6 +277,10 @@
     // The host that sends to a target charges the account.
     this.#settleOnce(forwarding);
     const mayHandOver = exchange.handover === undefined && progress.cancelledBy === undefined;
+    if (mayHandOver) {
+      // The other host may send the request to a target by the permit of this one.
+      repeatPermit.use();
+    }
     const response = mayHandOver
       ? await handovers.run({
           exchange,
@@ -285,15 +289,15 @@
             forwarding.send = send;
           },
           mayRepeat: () => {
+            const mayTryAgain = repeatPermit.mayTryAgain('target-failed', false);
             repeatPermit.use();
-            return repeatPermit.mayTryAgain('target-failed', false);
+            return mayTryAgain;
           },
         })
       : undefined;
     if (response === undefined) {
       this.#finish(forwarding);
     } else {
-      repeatPermit.use();
       responses.deliver(exchange, response, originElsewhere(progress.attempts));
     }
   }
--- a/packages/entry/tests/handover/handover-controller.test.ts
+++ b/packages/entry/tests/handover/handover-controller.test.ts
@@ -133,6 +133,22 @@
     expect(progress.outcome).toMatchObject({ ran: 'unknown' });
   });
 
+  // Guards against repeats at targets that no budget counts, since another host made the first send.
+  it.each([
+    [true, 2],
+    [false, 1],
+  ])(
+    'repeats what a target refused at another host within the retry budget: %s',
+    async (mayRepeat, sends) => {
+      const refused = refuse({ reason: 'target-refused', ran: 'no' });
+      const { run, sent, progress } = setUp('once', [refused, SERVED], mayRepeat);
+      await run();
+      expect(sent).toHaveLength(sends);
+      expect(progress.attempts).toBe(1);
+      expect(parseHandover(sent.at(-1)?.headers[HANDOVER_HEADER])?.attempts).toBe(sends - 1);
+    },
+  );
+
   it.each([
     [true, 2],
     [false, 1],
