--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -129,9 +129,13 @@
   #storeAddress;
   #backends = [];
 
-  constructor(root, record) {
+  #limits;
+
+  /** @param limits - limits of a machine in the settings that differ from those of skovlund-qc */
+  constructor(root, record, limits = {}) {
     this.#root = root;
     this.#record = record;
+    this.#limits = limits;
   }
 
   /** Starts the store on a loopback network of its own, whose ports are free. */
@@ -228,6 +232,7 @@
         file_descriptors: 4100,
         link_mbps: 1000,
         disk_mb: 0,
+        ...this.#limits,
       },
       data_directory: null,
       heartbeat_interval: '1500ms',
