test(review): stand-ins beside the report, and scripts whose crash is no broken rule

Cause: each folder of review/ is taken for a case, so review/lib lacked a claim and a script. An uncaught error of a runner would have ended with 1, as a broken rule does. Case 1 did not record what was sent.

--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -2,10 +2,10 @@
 import process from 'node:process';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath, URL } from 'node:url';
-import { Backend } from '../lib/backend.mjs';
-import { configuration, route, service } from '../lib/configuration.mjs';
-import { call, Deployment, runCase } from '../lib/deployment.mjs';
-import { Record } from '../lib/record.mjs';
+import { Backend } from '../backend.mjs';
+import { configuration, route, service } from '../configuration.mjs';
+import { call, Deployment, runCase } from '../deployment.mjs';
+import { Record } from '../record.mjs';
 
 const hasTrouble = process.env.TROUBLE !== '0';
 /** Largest share of its answers after which a faulty backend sends another one, by the site file. */
@@ -86,6 +86,7 @@
 }
 
 async function send(entry, attempt) {
+  record.write(`client sends ${attempt} to ${entry.name}`);
   const answer = await call({
     ...entry.traffic,
     path: '/orders/1',
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -3,10 +3,10 @@
 import process from 'node:process';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath, URL } from 'node:url';
-import { Backend } from '../lib/backend.mjs';
-import { configuration, route, service } from '../lib/configuration.mjs';
-import { call, CannotRun, Deployment, runCase } from '../lib/deployment.mjs';
-import { Record } from '../lib/record.mjs';
+import { Backend } from '../backend.mjs';
+import { configuration, route, service } from '../configuration.mjs';
+import { call, CannotRun, Deployment, runCase } from '../deployment.mjs';
+import { Record } from '../record.mjs';
 
 const hasTrouble = process.env.TROUBLE !== '0';
 const SERVICE = 'sorter-gate';
--- a/review/lib/deployment.mjs
+++ b/review/deployment.mjs
@@ -98,7 +98,7 @@
   }
 
   signal(name) {
-    process.kill(this.child.pid, name);
+    this.child.kill(name);
   }
 
   async isReady() {
@@ -279,14 +279,17 @@
     );
   }
 
+  /** Kills the entry processes that still run. */
+  killEntries() {
+    for (const entry of this.entries.filter(({ isEnded }) => !isEnded)) {
+      entry.signal('SIGKILL');
+    }
+  }
+
   /** Ends every process and stand-in that this deployment started. */
   async stop() {
-    for (const entry of this.entries) {
-      if (!entry.isEnded) {
-        entry.signal('SIGKILL');
-        await entry.ended;
-      }
-    }
+    this.killEntries();
+    await Promise.all(this.entries.map(({ ended }) => ended));
     for (const backend of this.#backends) {
       backend.close();
     }
@@ -295,13 +298,24 @@
   }
 }
 
-/** Runs a case and exits with 0 if the rule held, 1 if it was broken, 2 if the case could not run. */
+/** Exit codes of a case; run.sh turns any other one into 2, so that a crash is no broken rule. */
+const EXIT_HELD = 0;
+const EXIT_BROKEN = 10;
+const EXIT_COULD_NOT_RUN = 2;
+
+/** Runs a case and exits with one of the codes above. */
 export async function runCase(record, deployment, play) {
-  let code = 2;
+  let code = EXIT_COULD_NOT_RUN;
+  for (const signal of ['SIGTERM', 'SIGINT']) {
+    process.on(signal, () => process.exit(EXIT_COULD_NOT_RUN));
+  }
+  process.on('exit', () => {
+    deployment.killEntries();
+  });
   try {
     await deployment.start();
     const broken = await play();
-    code = broken ? 1 : 0;
+    code = broken ? EXIT_BROKEN : EXIT_HELD;
     record.write(broken ? 'VERDICT the rule was broken' : 'VERDICT the rule held');
   } catch (error) {
     record.write(`VERDICT the case could not run: ${String(error?.stack ?? error)}`);
