fix(entry): a stopping host takes only requests that it can still answer

What callers saw: a request sent 3.1 to 3.5 s after the SIGTERM of a host with a shutdown timeout of 6 s, whose work takes 2.6 s of the 3 s that its route allows, was passed on, and its connection closed 2.2 to 2.6 s later without an answer while a target worked on it (LOST). Of a non-idempotent request nobody can tell what became.

Cause: `EntryHost.stop` let new requests in during a fixed part of the timeout (0.6) and cut what was in flight 400 ms before its end. Nothing compared what a request may take with what was left, neither when its head was read, nor when its body was complete, nor before a repeat.

Seen on the way: with a timeout of 2 s the 400 ms were a fifth of it, so that work was cut well before the end.

A request whose deadline lies beyond is refused at once, 503 `stopping`, not run, with a Retry-After of some 0.1 s: other hosts can take it. It is asked when the head has been read, before the account is charged, and again before each send, so that a body that came late and a repeat are held to it. A body that is still incomplete at that time is refused, not cut.

Why it works: a deadline is the longest that a request may take here, as the host itself answers 504 then; so each one taken after the signal has its answer before the process ends, whatever the work, the moment and the timeout.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -13,6 +13,7 @@
 import { FleetMember } from './fleet-member.js';
 import { collectHostMetrics } from './collect-host-metrics.js';
 import { metricsText } from './metrics-text.js';
+import { GracefulShutdown } from './graceful-shutdown.js';
 import { HandoverAdmission } from './handover/handover-admission.js';
 import { HandoverController } from './handover/handover-controller.js';
 import { HandoverPeers } from './handover/handover-peers.js';
@@ -35,17 +36,11 @@
 import type { CheckConnection } from './reachability/check-connection.js';
 import { checkConnection } from './reachability/check-connection.js';
 import { TargetCrashDetector } from './suspects/target-crash-detector.js';
+import { ShutdownWindow } from './shutdown-window.js';
 import { ControlServer } from './servers/control-server.js';
 import { TrafficServer } from './servers/traffic-server.js';
 
 const SUMMARY_MILLISECONDS = 5_000;
-/** Interval of the checks for requests in flight during a graceful shutdown. */
-const DRAIN_CHECK_MILLISECONDS = 20;
-/** Time that a graceful shutdown reserves for closing connections. */
-const CLOSING_MILLISECONDS = 400;
-/** Fraction of the shutdown timeout during which new connections are accepted. */
-const SERVING_FRACTION = 0.6;
-
 export interface EntryHostOptions {
   readonly settings: EntryHostSettings;
   readonly clock: Clock;
@@ -74,6 +69,7 @@
   readonly #crashDetector: TargetCrashDetector;
   readonly #signalRecorder: TargetSignalRecorder;
   readonly #budget: ByteBudget;
+  readonly #shutdownWindow: ShutdownWindow;
   readonly #fairAdmission: FairAdmission;
   readonly #directory: Directory;
   readonly #trafficServer: TrafficServer;
@@ -102,6 +98,7 @@
     });
     this.#largeHosts = { of: [], names: [settings.name] };
     this.#budget = new ByteBudget(settings.maxBufferedBodyBytes);
+    this.#shutdownWindow = new ShutdownWindow(clock);
     const { view, state, peers, accounts, limits, suspects, reachability } = this.#member;
     this.#client = new TargetClient({
       clock,
@@ -174,7 +171,8 @@
       handovers: this.#handovers,
       signalRecorder: this.#signalRecorder,
       limits: limits.limits,
-      bodyReader: new BodyReader(clock, this.#budget),
+      bodyReader: new BodyReader(clock, this.#budget, this.#shutdownWindow),
+      shutdownWindow: this.#shutdownWindow,
       budget: this.#budget,
       responses: new ResponseWriter({
         ...options,
@@ -283,25 +281,21 @@
   }
 
   /**
-   * Shuts down gracefully: leaves the directory, serves while callers may still connect, then
-   * closes idle connections and waits for requests in flight.
+   * Shuts down gracefully, see {@link GracefulShutdown}.
    *
    * @returns number of requests that were aborted at the timeout
    */
   async stop(): Promise<number> {
-    const { settings, clock, events } = this.#options;
-    const deadline = clock.now() + settings.shutdownTimeoutMilliseconds;
-    events.write({ event: 'stopping', inFlight: this.metrics.inFlight });
-    this.#trafficServer.beginDraining();
-    const deregistered = this.#member.leave();
-    await clock.sleep(settings.shutdownTimeoutMilliseconds * SERVING_FRACTION);
-    this.#trafficServer.closeIdleConnections();
-    while (this.metrics.inFlight > 0 && clock.now() < deadline - CLOSING_MILLISECONDS) {
-      await clock.sleep(DRAIN_CHECK_MILLISECONDS);
-    }
-    const cut = this.metrics.inFlight;
-    events.write({ event: 'stopped', cut, accounts: this.metrics.accounts.rows });
-    await Promise.race([deregistered, clock.sleep(CLOSING_MILLISECONDS)]);
+    const { settings } = this.#options;
+    const shutdown = new GracefulShutdown({
+      ...this.#options,
+      timeoutMilliseconds: settings.shutdownTimeoutMilliseconds,
+      window: this.#shutdownWindow,
+      metrics: this.metrics,
+      trafficServer: this.#trafficServer,
+      leave: () => this.#member.leave(),
+    });
+    const cut = await shutdown.run();
     await this.close();
     return cut;
   }
--- /dev/null
+++ b/packages/entry/src/graceful-shutdown.ts
@@ -0,0 +1,57 @@
+import type { Clock } from '@ferrylock/utils';
+import type { EventLog } from './event-log.js';
+import type { RequestMetrics } from './request/request-metrics.js';
+import type { TrafficServer } from './servers/traffic-server.js';
+import type { ShutdownWindow } from './shutdown-window.js';
+
+/** Interval of the checks for requests in flight. */
+const CHECK_MILLISECONDS = 20;
+/** Fraction of the shutdown timeout during which new connections are accepted. */
+const SERVING_FRACTION = 0.6;
+/** Time to wait for the deregistration once no request is in flight. */
+const DEREGISTRATION_MILLISECONDS = 400;
+
+export interface GracefulShutdownOptions {
+  readonly clock: Clock;
+  readonly events: EventLog;
+  readonly timeoutMilliseconds: number;
+  readonly window: ShutdownWindow;
+  readonly metrics: Pick<RequestMetrics, 'inFlight' | 'accounts'>;
+  readonly trafficServer: Pick<TrafficServer, 'beginDraining' | 'closeIdleConnections'>;
+  /** Announces that this host is leaving; resolves once it is deregistered. */
+  readonly leave: () => Promise<void>;
+}
+
+/**
+ * Leaves the directory, serves what can be answered in time while callers may still connect, then
+ * closes idle connections and waits for requests in flight.
+ */
+export class GracefulShutdown {
+  readonly #options: GracefulShutdownOptions;
+
+  constructor(options: GracefulShutdownOptions) {
+    this.#options = options;
+  }
+
+  /** @returns number of requests that are still in flight at the end */
+  async run(): Promise<number> {
+    const { clock, events, metrics, timeoutMilliseconds, window, trafficServer } = this.#options;
+    const endsAt = window.begin(timeoutMilliseconds);
+    events.write({ event: 'stopping', inFlight: metrics.inFlight });
+    trafficServer.beginDraining();
+    const deregistered = this.#options.leave();
+    await clock.sleep(timeoutMilliseconds * SERVING_FRACTION);
+    trafficServer.closeIdleConnections();
+    while (metrics.inFlight > 0 && clock.now() < endsAt) {
+      await clock.sleep(CHECK_MILLISECONDS);
+    }
+    const cut = metrics.inFlight;
+    events.write({ event: 'stopped', cut, accounts: metrics.accounts.rows });
+    const remaining = Math.max(0, endsAt - clock.now());
+    await Promise.race([
+      deregistered,
+      clock.sleep(Math.min(DEREGISTRATION_MILLISECONDS, remaining)),
+    ]);
+    return cut;
+  }
+}
--- a/packages/entry/src/request/body-reader.ts
+++ b/packages/entry/src/request/body-reader.ts
@@ -2,10 +2,15 @@
 import type { Clock } from '@ferrylock/utils';
 import { Err, Ok } from 'ts-results-es';
 import type { Result } from 'ts-results-es';
+import type { ShutdownWindow } from '../shutdown-window.js';
 import type { ByteBudget } from '../transfers/byte-budget.js';
 
 /** Reason why a request body was not read completely. */
-export type BodyFailure = 'too-large' | 'too-many-bytes-held' | 'too-late' | 'caller-gone';
+export type BodyFailure =
+  'too-large' | 'too-many-bytes-held' | 'too-late' | 'stopping' | 'caller-gone';
+
+/** Reason why a body is awaited no longer. */
+type BodyTimeout = Extract<BodyFailure, 'too-late' | 'stopping'>;
 
 /** Limits for reading one request body. */
 export interface BodyLimits {
@@ -22,6 +27,7 @@
   constructor(
     readonly clock: Clock,
     readonly budget: ByteBudget,
+    readonly shutdownWindow: Pick<ShutdownWindow, 'onClose'>,
   ) {}
 
   /** Reads a request's body; undefined if it has none. */
@@ -50,11 +56,11 @@
     this.budget.release(body?.length ?? 0);
   }
 
-  /** @param timedOut - resolves when the deadline has passed */
+  /** @param timedOut - resolves when the deadline has passed, or this host can answer no more */
   async #collect(
     request: IncomingMessage,
     maxBytes: number,
-    timedOut: Promise<'too-late'>,
+    timedOut: Promise<BodyTimeout>,
   ): Promise<Result<Buffer, BodyFailure>> {
     const chunks: Buffer[] = [];
     let bytes = 0;
@@ -67,8 +73,8 @@
     try {
       for (;;) {
         const step = await Promise.race([source.next(), timedOut]);
-        if (step === 'too-late') {
-          return fail('too-late');
+        if (typeof step === 'string') {
+          return fail(step);
         }
         if (step.done === true) {
           return Ok(Buffer.concat(chunks));
@@ -89,15 +95,23 @@
     }
   }
 
-  #startTimer({ deadlineAt }: BodyLimits): { timedOut: Promise<'too-late'>; cancel: () => void } {
-    let cancel = (): void => undefined;
-    const timedOut = new Promise<'too-late'>((resolve) => {
+  #startTimer({ deadlineAt }: BodyLimits): { timedOut: Promise<BodyTimeout>; cancel: () => void } {
+    let cancelTimer = (): void => undefined;
+    let unsubscribe = (): void => undefined;
+    const timedOut = new Promise<BodyTimeout>((resolve) => {
+      unsubscribe = this.shutdownWindow.onClose(() => {
+        resolve('stopping');
+      });
       if (Number.isFinite(deadlineAt)) {
-        cancel = this.clock.after(Math.max(0, deadlineAt - this.clock.now()), () => {
+        cancelTimer = this.clock.after(Math.max(0, deadlineAt - this.clock.now()), () => {
           resolve('too-late');
         });
       }
     });
+    const cancel = (): void => {
+      cancelTimer();
+      unsubscribe();
+    };
     return { timedOut, cancel };
   }
 }
--- a/packages/entry/src/request/refusal.ts
+++ b/packages/entry/src/request/refusal.ts
@@ -16,6 +16,7 @@
   'bad-request': 400,
   'too-large': 413,
   'too-many-bytes-held': 503,
+  stopping: 503,
   'caller-gone': 503,
   'no-target': 503,
   overload: 503,
--- a/packages/entry/src/request/refusals.ts
+++ b/packages/entry/src/request/refusals.ts
@@ -1,14 +1,14 @@
 import type { OverPart, QuotaRefusal, TargetAvailability } from '@ferrylock/routing';
 import type { BodyFailure } from './body-reader.js';
-import type { Refusal } from './refusal.js';
+import type { Refusal, RefusalReason } from './refusal.js';
 
 /** Refusal reason for each failure to read a body. */
-const BODY_REFUSALS = {
+const BODY_REFUSALS: Readonly<Record<Exclude<BodyFailure, 'stopping'>, RefusalReason>> = {
   'too-large': 'too-large',
   'too-many-bytes-held': 'too-many-bytes-held',
   'too-late': 'deadline-not-run',
   'caller-gone': 'caller-gone',
-} as const;
+};
 /** Refusal detail for each failure to admit a caller to a route. */
 export const ADMISSION_DETAILS = {
   'unknown-key': 'the route needs the key of a client account',
@@ -18,6 +18,8 @@
 const NOT_READY_RETRY_SECONDS = 1;
 /** Paths are checked several times within it, and callers learn of other hosts. */
 const UNREACHABLE_RETRY_SECONDS = 1;
+/** Other hosts can take the request at once; the jitter spreads the callers of one host. */
+const STOPPING_RETRY_SECONDS = 0.1;
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** Refusal while no configuration is known. */
@@ -68,6 +70,12 @@
   return { reason: 'too-many-bytes-held', detail, ran: 'no' };
 }
 
+/** Refusal of a request that this host may not be able to answer before it stops. */
+export function stopping(): Refusal {
+  const detail = 'this entry host stops before the request would have to be answered';
+  return { reason: 'stopping', detail, ran: 'no', retryAfterSeconds: STOPPING_RETRY_SECONDS };
+}
+
 /** Refusal of an invalid request. */
 export function badRequest(detail: string): Refusal {
   return { reason: 'bad-request', detail, ran: 'no' };
@@ -102,6 +110,9 @@
 
 /** Refusal of a request whose body could not be read. */
 export function bodyRefusal(failure: BodyFailure): Refusal {
+  if (failure === 'stopping') {
+    return stopping();
+  }
   return {
     reason: BODY_REFUSALS[failure],
     detail: `the body could not be read: ${failure}`,
--- a/packages/entry/src/request/request-forwarder-options.ts
+++ b/packages/entry/src/request/request-forwarder-options.ts
@@ -9,6 +9,7 @@
 import type { HandoverController } from '../handover/handover-controller.js';
 import type { TargetReachability } from '../reachability/target-reachability.js';
 import type { ByteBudget } from '../transfers/byte-budget.js';
+import type { ShutdownWindow } from '../shutdown-window.js';
 import type { SuspectController } from '../suspects/suspect-controller.js';
 import type { TargetCrashDetector } from '../suspects/target-crash-detector.js';
 import type { RequestMetrics } from './request-metrics.js';
@@ -35,6 +36,7 @@
   readonly budget: ByteBudget;
   readonly responses: ResponseWriter;
   readonly metrics: RequestMetrics;
+  readonly shutdownWindow: ShutdownWindow;
   readonly ownName: string;
   /** True if the event loop was delayed lately, so that callers may have disconnected unnoticed. */
   readonly isLagging: () => boolean;
--- a/packages/entry/src/request/request-forwarder.ts
+++ b/packages/entry/src/request/request-forwarder.ts
@@ -9,6 +9,7 @@
 import { DeniedRepeatLog } from './denied-repeat-log.js';
 import { failedSendEvent } from './failed-send-event.js';
 import { repeatCauseOf } from './repeat-metrics.js';
+import { isSendAllowed } from './is-send-allowed.js';
 import type { Handover } from '../handover/handover-headers.js';
 import { TransferController } from '../transfers/transfer-controller.js';
 import type { Refusal } from './refusal.js';
@@ -179,8 +180,8 @@
     const { exchange, service, progress, repeatPermit, transfer } = forwarding;
     const { reachability, events, state, clock } = this.#options;
     for (;;) {
-      const mayRun = await this.#mayRun(forwarding);
-      const maySend = mayRun && progress.cancelledBy === undefined;
+      const isAllowed = await isSendAllowed(forwarding, this.#options);
+      const maySend = isAllowed && progress.cancelledBy === undefined;
       const target = maySend ? this.#chooseTarget(forwarding) : undefined;
       if (target === undefined) {
         await this.#finishWithoutTarget(forwarding, maySend);
@@ -302,20 +303,6 @@
     }
   }
 
-  /**
-   * Checks whether targets may run the request; checked before each send, as peers may report
-   * crashes.
-   */
-  async #mayRun({ exchange, progress }: ForwardingState): Promise<boolean> {
-    const { suspects } = this.#options;
-    const fingerprint = suspects.findFingerprint(exchange);
-    if (fingerprint === undefined || (await suspects.mayRun(fingerprint))) {
-      return true;
-    }
-    progress.rejectSuspect(suspects.retryAfterSeconds(fingerprint));
-    return false;
-  }
-
   #chooseTarget({ exchange, service, progress }: ForwardingState): TargetState | undefined {
     const { largeHosts, ownName, state } = this.#options;
     const { route } = exchange;
--- a/packages/entry/src/request/request-router.ts
+++ b/packages/entry/src/request/request-router.ts
@@ -1,6 +1,7 @@
 import type { ClientAccount, Route } from '@ferrylock/routing';
 import type { AccountLimitController } from '../accounts/account-limit-controller.js';
 import type { RoutingState } from '../routing/routing-state.js';
+import type { ShutdownWindow } from '../shutdown-window.js';
 import type { BodyReader } from './body-reader.js';
 import type { CallerExchange, RoutedExchange } from './caller-exchange.js';
 import type { Refusal } from './refusal.js';
@@ -10,6 +11,7 @@
   bodyRefusal,
   notReady,
   overQuota,
+  stopping,
   unusableRoute,
 } from './refusals.js';
 
@@ -26,6 +28,7 @@
   readonly state: Pick<RoutingState, 'active'>;
   readonly accounts: AccountLimitController;
   readonly bodyReader: BodyReader;
+  readonly shutdownWindow: Pick<ShutdownWindow, 'canAnswer'>;
 }
 
 /** Admits callers' requests by the configuration. */
@@ -38,7 +41,7 @@
 
   /** Matches the route, charges the account and reads the body. */
   async route(exchange: CallerExchange): Promise<RoutedExchange | RefusedExchange> {
-    const { state, bodyReader, accounts } = this.#options;
+    const { state, bodyReader, accounts, shutdownWindow } = this.#options;
     const { request, metadata, path, arrivedAt } = exchange;
     const { active } = state;
     if (active === undefined) {
@@ -63,11 +66,14 @@
     if (Number.isNaN(deadlineMilliseconds)) {
       return badRequest('expected a deadline in whole milliseconds');
     }
+    const deadlineAt = arrivedAt + Math.min(deadlineMilliseconds, route.timeoutMilliseconds);
+    if (!shutdownWindow.canAnswer(deadlineAt)) {
+      return { ...stopping(), account, route };
+    }
     const refusal = account === undefined ? undefined : accounts.acquire(account);
     if (refusal !== undefined) {
       return { ...overQuota(refusal), account, route };
     }
-    const deadlineAt = arrivedAt + Math.min(deadlineMilliseconds, route.timeoutMilliseconds);
     const body = await bodyReader.read(request, {
       maxBytes: active.limits.mostBodyBytes,
       deadlineAt,
--- a/packages/entry/tests/request/body-reader.test.ts
+++ b/packages/entry/tests/request/body-reader.test.ts
@@ -6,6 +6,7 @@
 import { FakeClock } from '@ferrylock/test-utils';
 import { afterEach, beforeEach, expect, test } from 'vitest';
 import { BodyReader } from '../../src/request/body-reader.js';
+import { ShutdownWindow } from '../../src/shutdown-window.js';
 import { ByteBudget } from '../../src/transfers/byte-budget.js';
 
 const BUFFER_BYTES = 1_000;
@@ -27,6 +28,10 @@
   await once(server, 'close');
 });
 
+function makeReader(maxBytes = BUFFER_BYTES): BodyReader {
+  return new BodyReader(clock, new ByteBudget(maxBytes), new ShutdownWindow(clock));
+}
+
 /** Sends the head and the first bytes of a request and returns the request as received. */
 async function receive(headers: string, firstBytes: string): Promise<IncomingMessage> {
   const received = once(server, 'request');
@@ -36,21 +41,21 @@
 }
 
 test('reads a body with a declared length', async () => {
-  const bodies = new BodyReader(clock, new ByteBudget(BUFFER_BYTES));
+  const bodies = makeReader();
   const request = await receive('content-length: 4', 'abcd');
   const body = await bodies.read(request, { maxBytes: 4, deadlineAt: Infinity });
   expect(body.unwrap()?.toString()).toBe('abcd');
 });
 
 test('returns undefined without a content-length or chunked encoding', async () => {
-  const bodies = new BodyReader(clock, new ByteBudget(BUFFER_BYTES));
+  const bodies = makeReader();
   const request = await receive('accept: a/b', '');
   const body = await bodies.read(request, { maxBytes: 4, deadlineAt: Infinity });
   expect(body.unwrap()).toBeUndefined();
 });
 
 test('stops waiting for a slow body at the deadline', async () => {
-  const bodies = new BodyReader(clock, new ByteBudget(BUFFER_BYTES));
+  const bodies = makeReader();
   const request = await receive('content-length: 4', 'ab');
   const reading = bodies.read(request, { maxBytes: 4, deadlineAt: clock.now() + 800 });
   await clock.advance(800);
@@ -59,7 +64,7 @@
 });
 
 test('releases the buffered bytes of an abandoned body', async () => {
-  const bodies = new BodyReader(clock, new ByteBudget(4));
+  const bodies = makeReader(4);
   const slowRequest = await receive('content-length: 4', 'ab');
   const reading = bodies.read(slowRequest, { maxBytes: 4, deadlineAt: clock.now() + 800 });
   await clock.advance(800);
@@ -75,21 +80,21 @@
   { name: 'a declared length', headers: 'content-length: 5', bytes: '' },
   { name: 'chunks', headers: 'transfer-encoding: chunked', bytes: '5\r\nabcde\r\n0\r\n\r\n' },
 ])('rejects a body that exceeds the limit by $name', async ({ headers, bytes }) => {
-  const bodies = new BodyReader(clock, new ByteBudget(BUFFER_BYTES));
+  const bodies = makeReader();
   const request = await receive(headers, bytes);
   const body = await bodies.read(request, { maxBytes: 4, deadlineAt: Infinity });
   expect(body.isErr() && body.error).toBe('too-large');
 });
 
 test('rejects a body when all bodies together exceed the buffer limit', async () => {
-  const bodies = new BodyReader(clock, new ByteBudget(3));
+  const bodies = makeReader(3);
   const request = await receive('content-length: 4', 'abcd');
   const body = await bodies.read(request, { maxBytes: 4, deadlineAt: Infinity });
   expect(body.isErr() && body.error).toBe('too-many-bytes-held');
 });
 
 test('reports a caller that disconnects in the middle of its body', async () => {
-  const bodies = new BodyReader(clock, new ByteBudget(BUFFER_BYTES));
+  const bodies = makeReader();
   const request = await receive('content-length: 4', 'ab');
   const reading = bodies.read(request, { maxBytes: 4, deadlineAt: Infinity });
   caller.destroy();
