fix(entry): a stopping host no longer cuts answers that slow callers still read

Cause: Node's `closeIdleConnections`, which `http.Server.close` calls too, takes a connection for idle as soon as the response was ended, even though its bytes wait in the connection. And the wait for the end looked at requests in flight alone, which are done when the answer has been handed to the connection.

Change: `CallerConnections` knows the responses of each connection that the operating system has not taken whole. Idle is a connection without any; the listener is closed without Node's own closing of idle connections; the shutdown waits for these responses as it does for requests, and counts them as cut at the end.

--- a/packages/entry/src/graceful-shutdown.ts
+++ b/packages/entry/src/graceful-shutdown.ts
@@ -17,7 +17,10 @@
   readonly timeoutMilliseconds: number;
   readonly window: ShutdownWindow;
   readonly metrics: Pick<RequestMetrics, 'inFlight' | 'accounts'>;
-  readonly trafficServer: Pick<TrafficServer, 'beginDraining' | 'closeIdleConnections'>;
+  readonly trafficServer: Pick<
+    TrafficServer,
+    'beginDraining' | 'closeIdleConnections' | 'openResponses'
+  >;
   /** Announces that this host is leaving; resolves once it is deregistered. */
   readonly leave: () => Promise<void>;
 }
@@ -33,7 +36,7 @@
     this.#options = options;
   }
 
-  /** @returns number of requests that are still in flight at the end */
+  /** @returns number of requests and answers that are still in flight at the end */
   async run(): Promise<number> {
     const { clock, events, metrics, timeoutMilliseconds, window, trafficServer } = this.#options;
     const endsAt = window.begin(timeoutMilliseconds);
@@ -42,10 +45,10 @@
     const deregistered = this.#options.leave();
     await clock.sleep(timeoutMilliseconds * SERVING_FRACTION);
     trafficServer.closeIdleConnections();
-    while (metrics.inFlight > 0 && clock.now() < endsAt) {
+    while (this.#unfinished > 0 && clock.now() < endsAt) {
       await clock.sleep(CHECK_MILLISECONDS);
     }
-    const cut = metrics.inFlight;
+    const cut = this.#unfinished;
     events.write({ event: 'stopped', cut, accounts: metrics.accounts.rows });
     const remaining = Math.max(0, endsAt - clock.now());
     await Promise.race([
@@ -54,4 +57,10 @@
     ]);
     return cut;
   }
+
+  /** Requests without an answer, or answers that are not sent whole, whichever are more. */
+  get #unfinished(): number {
+    const { metrics, trafficServer } = this.#options;
+    return Math.max(metrics.inFlight, trafficServer.openResponses);
+  }
 }
--- a/packages/entry/src/servers/traffic-server.ts
+++ b/packages/entry/src/servers/traffic-server.ts
@@ -1,9 +1,11 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import { Server } from 'node:net';
 import type { Socket } from 'node:net';
 import type { CallerLimits } from '@ferrylock/routing';
 import Fastify from 'fastify';
 import type { FastifyInstance } from 'fastify';
 import { splitAddress } from '../address.js';
+import { CallerConnections } from './caller-connections.js';
 import { SCHEMALESS_SERVER_OPTIONS } from './schemaless-server-options.js';
 
 /** Size limit of request headers in the HTTP parser; a configuration may only lower it. */
@@ -25,9 +27,7 @@
 export class TrafficServer {
   readonly #app: FastifyInstance;
   #maxHeaderBytes = MAX_HEADERS_BYTES;
-  /** Responses that are not finished yet. */
-  readonly #openResponses = new Set<ServerResponse>();
-  #isDraining = false;
+  readonly #connections = new CallerConnections();
 
   constructor(options: TrafficServerOptions) {
     this.#app = Fastify({
@@ -47,7 +47,7 @@
     this.#app.addHook('onRequest', async (request, reply) => {
       reply.hijack();
       const { raw } = request;
-      this.#watch(reply.raw);
+      this.#connections.begin(raw.socket, reply.raw);
       if (headerBytes(raw) > this.#maxHeaderBytes) {
         reply.raw.writeHead(431, { connection: 'close', 'content-length': 0 }).end();
         return;
@@ -57,6 +57,9 @@
         reply.raw.destroy();
       });
     });
+    this.#app.server.on('connection', (socket: Socket) => {
+      this.#connections.add(socket);
+    });
     this.#app.all('/', (_request, reply) => {
       reply.hijack();
     });
@@ -76,29 +79,21 @@
     server.headersTimeout = limits.headerTimeoutMilliseconds;
   }
 
-  /** Closes each connection after its next response, so that callers reconnect to other hosts. */
+  /** Number of responses that callers' connections have not taken whole. */
+  get openResponses(): number {
+    return this.#connections.openResponses;
+  }
+
+  /** Closes each connection after the responses that are due, so that callers go to other hosts. */
   beginDraining(): void {
-    this.#isDraining = true;
-    for (const response of this.#openResponses) {
-      closeAfterResponse(response);
-    }
+    this.#connections.drain();
   }
 
   /** Stops accepting connections and closes idle ones. */
   closeIdleConnections(): void {
-    this.#app.server.close();
-    this.#app.server.closeIdleConnections();
-  }
-
-  #watch(response: ServerResponse): void {
-    if (this.#isDraining) {
-      closeAfterResponse(response);
-      return;
-    }
-    this.#openResponses.add(response);
-    response.once('close', () => {
-      this.#openResponses.delete(response);
-    });
+    // The HTTP server's own method takes connections for idle that are still sending an answer.
+    Server.prototype.close.call(this.#app.server);
+    this.#connections.closeIdle();
   }
 
   async close(): Promise<void> {
@@ -107,13 +102,6 @@
   }
 }
 
-/** Closes the connection after the response, unless its head has already been sent. */
-function closeAfterResponse(response: ServerResponse): void {
-  if (!response.headersSent) {
-    response.setHeader('connection', 'close');
-  }
-}
-
 function headerBytes({ rawHeaders }: IncomingMessage): number {
   return rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
 }
