fix(entry): requests behind another one are answered when a host stops

Cause: a stopping host wrote `Connection: close` into each open response, and Node ends the connection after the first of them. A request that came behind such an answer was still passed on, though its answer could not be sent.

Change: only the last response of a connection says that it closes; a later request takes that over while the head that says so has not been sent. After it has been sent, a request behind it is not read: it does not run, and its caller repeats it elsewhere, as for each request that crosses a close.

--- a/packages/entry/src/servers/caller-connections.ts
+++ b/packages/entry/src/servers/caller-connections.ts
@@ -5,14 +5,23 @@
 class CallerConnection {
   /** Responses that the operating system has not taken whole, in the order of their requests. */
   readonly open = new Set<ServerResponse>();
+  /** The response after which the connection closes. */
+  #last: ServerResponse | undefined;
 
-  /** Closes the connection after a response whose head has not been sent. */
-  closeAfterNext(): void {
-    for (const response of this.open) {
-      if (!response.headersSent) {
-        response.setHeader('connection', 'close');
-      }
+  /** Whether the head of a response has told the caller that nothing follows it. */
+  get hasToldClose(): boolean {
+    return this.#last?.headersSent === true;
+  }
+
+  /** Closes the connection after the last response, unless the heads of all have been sent. */
+  closeAfterLast(): void {
+    const last = [...this.open].at(-1);
+    if (last === undefined || last === this.#last || last.headersSent) {
+      return;
     }
+    this.#last?.removeHeader('connection');
+    this.#last = last;
+    last.setHeader('connection', 'close');
   }
 }
 
@@ -33,26 +42,31 @@
     });
   }
 
-  /** Begins a response. */
-  begin(socket: Socket, response: ServerResponse): void {
+  /**
+   * Begins a response.
+   *
+   * @returns false if the connection closes after an earlier one, so that the request must not run
+   */
+  begin(socket: Socket, response: ServerResponse): boolean {
     const connection = this.#connections.get(socket);
-    if (connection === undefined) {
-      return;
+    if (connection === undefined || connection.hasToldClose) {
+      return false;
     }
     connection.open.add(response);
     response.once('close', () => {
       connection.open.delete(response);
     });
     if (this.#isDraining) {
-      connection.closeAfterNext();
+      connection.closeAfterLast();
     }
+    return true;
   }
 
-  /** Closes each connection after its next response, so that callers reconnect elsewhere. */
+  /** Closes each connection after the last of its responses, so that callers reconnect elsewhere. */
   drain(): void {
     this.#isDraining = true;
     for (const connection of this.#connections.values()) {
-      connection.closeAfterNext();
+      connection.closeAfterLast();
     }
   }
 
--- a/packages/entry/src/servers/traffic-server.ts
+++ b/packages/entry/src/servers/traffic-server.ts
@@ -47,7 +47,9 @@
     this.#app.addHook('onRequest', async (request, reply) => {
       reply.hijack();
       const { raw } = request;
-      this.#connections.begin(raw.socket, reply.raw);
+      if (!this.#connections.begin(raw.socket, reply.raw)) {
+        return;
+      }
       if (headerBytes(raw) > this.#maxHeaderBytes) {
         reply.raw.writeHead(431, { connection: 'close', 'content-length': 0 }).end();
         return;
