fix(entry): a stop ends within its timeout though the store holds a call

What callers saw: nothing, but a host whose stop ran to its end closed callers' connections only after the store had answered a call that it may hold for a second, and was killed before its own end.

Cause: `EntryHost.close` waited for the fleet's tasks, the watch of the store among them, before it closed the servers, and `stop` waited for all of it without a bound.

Change: callers' connections close first, and the stop waits for the rest until a quarter of the reserved time before its timeout.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -294,16 +294,15 @@
       metrics: this.metrics,
       trafficServer: this.#trafficServer,
       leave: () => this.#member.leave(),
+      close: () => this.close(),
     });
-    const cut = await shutdown.run();
-    await this.close();
-    return cut;
+    return shutdown.run();
   }
 
   /** Shuts down immediately. */
   async close(): Promise<void> {
-    await Promise.all([this.#tasks.stop(), this.#member.close()]);
     await Promise.all([this.#trafficServer.close(), this.#controlServer.close()]);
+    await Promise.all([this.#tasks.stop(), this.#member.close()]);
     await Promise.all([this.#client.close(), this.#peerClient.close()]);
   }
 
--- a/packages/entry/src/graceful-shutdown.ts
+++ b/packages/entry/src/graceful-shutdown.ts
@@ -23,6 +23,8 @@
   >;
   /** Announces that this host is leaving; resolves once it is deregistered. */
   readonly leave: () => Promise<void>;
+  /** Closes callers' connections first, then all others; may take as long as the store does. */
+  readonly close: () => Promise<void>;
 }
 
 /**
@@ -39,25 +41,31 @@
   /** @returns number of requests and answers that are still in flight at the end */
   async run(): Promise<number> {
     const { clock, events, metrics, timeoutMilliseconds, window, trafficServer } = this.#options;
-    const endsAt = window.begin(timeoutMilliseconds);
+    const { abortsAt, exitsAt } = window.begin(timeoutMilliseconds);
     events.write({ event: 'stopping', inFlight: metrics.inFlight });
     trafficServer.beginDraining();
     const deregistered = this.#options.leave();
     await clock.sleep(timeoutMilliseconds * SERVING_FRACTION);
     trafficServer.closeIdleConnections();
-    while (this.#unfinished > 0 && clock.now() < endsAt) {
+    while (this.#unfinished > 0 && clock.now() < abortsAt) {
       await clock.sleep(CHECK_MILLISECONDS);
     }
     const cut = this.#unfinished;
     events.write({ event: 'stopped', cut, accounts: metrics.accounts.rows });
-    const remaining = Math.max(0, endsAt - clock.now());
-    await Promise.race([
+    await this.#waitUntil(
+      Math.min(abortsAt, clock.now() + DEREGISTRATION_MILLISECONDS),
       deregistered,
-      clock.sleep(Math.min(DEREGISTRATION_MILLISECONDS, remaining)),
-    ]);
+    );
+    await this.#waitUntil(exitsAt, this.#options.close());
     return cut;
   }
 
+  /** Waits for an action, though not longer than until a monotonic time in milliseconds. */
+  async #waitUntil(latest: number, action: Promise<void>): Promise<void> {
+    const { clock } = this.#options;
+    await Promise.race([action, clock.sleep(Math.max(0, latest - clock.now()))]);
+  }
+
   /** Requests without an answer, or answers that are not sent whole, whichever are more. */
   get #unfinished(): number {
     const { metrics, trafficServer } = this.#options;
--- a/packages/entry/src/shutdown-window.ts
+++ b/packages/entry/src/shutdown-window.ts
@@ -5,6 +5,14 @@
 /** Enough for a host whose event loop is delayed, however long the timeout is. */
 const MAX_RESERVED_MILLISECONDS = 400;
 
+/** Monotonic times in milliseconds of the end of a graceful shutdown. */
+export interface ShutdownEnd {
+  /** When requests that are still in flight are aborted. */
+  readonly abortsAt: number;
+  /** When the process must be ready to exit. */
+  readonly exitsAt: number;
+}
+
 /**
  * Tells which requests this host can still answer. During a graceful shutdown these are the requests
  * whose deadline lies before the time at which the host must have answered; another host has to
@@ -22,12 +30,10 @@
   }
 
   /**
-   * Begins a graceful shutdown.
-   *
-   * @returns monotonic time in milliseconds at which requests still in flight are aborted; half of
-   * the reserved time remains for final responses to be written, the other half for the process
+   * Begins a graceful shutdown. Half of the reserved time is for writing final responses, a quarter
+   * for closing, and a quarter remains.
    */
-  begin(timeoutMilliseconds: number): number {
+  begin(timeoutMilliseconds: number): ShutdownEnd {
     const reserved = Math.min(MAX_RESERVED_MILLISECONDS, timeoutMilliseconds * RESERVED_FRACTION);
     const remaining = timeoutMilliseconds - reserved;
     this.#answersUntil = this.clock.now() + remaining;
@@ -36,7 +42,10 @@
         callback();
       }
     });
-    return this.#answersUntil + reserved / 2;
+    return {
+      abortsAt: this.#answersUntil + reserved / 2,
+      exitsAt: this.#answersUntil + (3 * reserved) / 4,
+    };
   }
 
   /**
