fix(entry): a refusal of another request is no answer to this one

Cause: `TargetSend` compared the id of an answer with that of its request only if the answer did not say that the request has not run; a 421 it did not compare at all. Whatever such a refusal told (rest, limit, leaving, load, a cold start, another target at the address) was taken as the target's present state, too. The load and the cold time of a 421, which are another target's, were recorded for this one, whatever its id.

Change: `findStray` decides by the id alone, before anything else is read from an answer; only that the path to the target works is taken from a stray one. Its request's outcome is unknown: answered with 502, or repeated if it may run twice. If a refusal lacks it, it counts only where the connection carried no other request; as a stray answer turns reuse of the service's connections off for a while, a deployment whose targets leave the id out loses one request to "unknown", has a line `unreadable-answer`, and is believed from then on at the cost of new connections. `ferrylock_stray_responses_total` counts by kind (refusal, misdirected, answer) and id (other, missing); `try-failed` names the other request.

Why it works: an id is used for one attempt, which is sent to a target at most once; so an answer with it is to that send.

Not had: the true answer follows the stray one on the same connection and is thrown away with it. The transport takes the stray one as the response and has no request left for the next; to skip one takes a parser of our own.

--- a/packages/entry/src/collect-host-metrics.ts
+++ b/packages/entry/src/collect-host-metrics.ts
@@ -6,6 +6,7 @@
 import type { HandoverController } from './handover/handover-controller.js';
 import type { HandoverReceiver } from './handover/handover-receiver.js';
 import type { HostMetrics } from './metrics-text.js';
+import type { StrayRecorder } from './request/stray-recorder.js';
 import type { TargetSignalRecorder } from './request/target-signal-recorder.js';
 import { limitedTargets } from './routing/limited-targets.js';
 import { restingTargets } from './routing/resting-targets.js';
@@ -21,6 +22,7 @@
   readonly member: FleetMember;
   readonly crashDetector: TargetCrashDetector;
   readonly signalRecorder: TargetSignalRecorder;
+  readonly strayRecorder: StrayRecorder;
   readonly handovers: HandoverController;
   readonly handoverReceiver: HandoverReceiver;
   readonly budget: ByteBudget;
@@ -34,6 +36,7 @@
   member,
   crashDetector,
   signalRecorder,
+  strayRecorder,
   handovers,
   handoverReceiver,
   budget,
@@ -72,6 +75,7 @@
     logLinesDropped: events.dropped,
     unreadableRecords: events.unreadable,
     targetsEnded: crashDetector.crashes,
+    strayResponses: strayRecorder.counts,
     rests: signalRecorder.rests,
     unwantedSends: signalRecorder.unwantedSends,
     targetsSaidLeaving: signalRecorder.leaving,
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -30,6 +30,7 @@
 import { RequestMetrics } from './request/request-metrics.js';
 import type { Dial } from './request/target-client.js';
 import { TargetClient } from './request/target-client.js';
+import { StrayRecorder } from './request/stray-recorder.js';
 import { TargetSignalRecorder } from './request/target-signal-recorder.js';
 import type { RoutingState } from './routing/routing-state.js';
 import { EventLoopDelay } from './event-loop-delay.js';
@@ -68,6 +69,7 @@
   readonly #handoverReceiver: HandoverReceiver;
   readonly #crashDetector: TargetCrashDetector;
   readonly #signalRecorder: TargetSignalRecorder;
+  readonly #strayRecorder: StrayRecorder;
   readonly #budget: ByteBudget;
   readonly #shutdownWindow: ShutdownWindow;
   readonly #fairAdmission: FairAdmission;
@@ -141,6 +143,7 @@
         limits.recordLimitChange(target);
       },
     });
+    this.#strayRecorder = new StrayRecorder(events);
     this.#directory = new Directory({
       view,
       peers,
@@ -170,6 +173,7 @@
       reachability,
       handovers: this.#handovers,
       signalRecorder: this.#signalRecorder,
+      strayRecorder: this.#strayRecorder,
       limits: limits.limits,
       bodyReader: new BodyReader(clock, this.#budget, this.#shutdownWindow),
       shutdownWindow: this.#shutdownWindow,
@@ -244,6 +248,7 @@
       member: this.#member,
       crashDetector: this.#crashDetector,
       signalRecorder: this.#signalRecorder,
+      strayRecorder: this.#strayRecorder,
       handovers: this.#handovers,
       handoverReceiver: this.#handoverReceiver,
       budget: this.#budget,
--- a/packages/entry/src/metrics-text.ts
+++ b/packages/entry/src/metrics-text.ts
@@ -11,6 +11,7 @@
 import type { AccountRow } from './request/account-metrics.js';
 import type { ServiceRepeats } from './request/repeat-metrics.js';
 import type { ClassMetrics, RequestMetrics } from './request/request-metrics.js';
+import type { StrayCount } from './request/stray-recorder.js';
 import type { LimitedTarget } from './routing/limited-targets.js';
 import type { RestingTarget } from './routing/resting-targets.js';
 
@@ -89,6 +90,8 @@
   readonly unreadableRecords: number;
   /** Number of targets that crashed while requests of this host were in flight. */
   readonly targetsEnded: number;
+  /** Responses that were not taken as answers to the requests that were sent. */
+  readonly strayResponses: readonly StrayCount[];
   /** Number of rests, which are back-offs that a target requests through Retry-After. */
   readonly rests: number;
   /** Number of requests sent to targets that were resting or leaving. */
@@ -171,6 +174,11 @@
     ...counter('unreadable_records_total', host.unreadableRecords),
     ...counter('targets_ended_total', host.targetsEnded),
     ...gauge('suspect_requests', host.suspectRequests),
+    '# TYPE ferrylock_stray_responses_total counter',
+    ...host.strayResponses.map(
+      ({ kind, id, count }) =>
+        `ferrylock_stray_responses_total{kind="${kind}",id="${id}"} ${count}`,
+    ),
     ...counter('rests_total', host.rests),
     ...counter('unwanted_sends_total', host.unwantedSends),
     ...counter('targets_said_leaving_total', host.targetsSaidLeaving),
--- a/packages/entry/src/request/request-forwarder-options.ts
+++ b/packages/entry/src/request/request-forwarder-options.ts
@@ -13,6 +13,7 @@
 import type { SuspectController } from '../suspects/suspect-controller.js';
 import type { TargetCrashDetector } from '../suspects/target-crash-detector.js';
 import type { RequestMetrics } from './request-metrics.js';
+import type { StrayRecorder } from './stray-recorder.js';
 import type { TargetClient } from './target-client.js';
 import type { TargetSignalRecorder } from './target-signal-recorder.js';
 
@@ -27,6 +28,7 @@
   readonly reachability: TargetReachability;
   readonly handovers: HandoverController;
   readonly signalRecorder: TargetSignalRecorder;
+  readonly strayRecorder: StrayRecorder;
   /** Refuses accounts beyond their part of a service that is short of room. */
   readonly fairAdmission: Pick<FairAdmission, 'check'>;
   readonly limits: TargetLimits;
--- a/packages/entry/src/request/target-send.ts
+++ b/packages/entry/src/request/target-send.ts
@@ -16,6 +16,8 @@
   TargetClient,
   TargetResponse,
 } from './target-client.js';
+import type { StrayRecorder } from './stray-recorder.js';
+import { findStray, StrayResponse } from './stray-response.js';
 import { SendNotAllowed } from './target-client.js';
 import type { TargetSignalRecorder } from './target-signal-recorder.js';
 
@@ -46,8 +48,6 @@
 /** Longest delay of a cancellation; targets must see it within half a second of the disconnect. */
 const MAX_CANCEL_DELAY_MILLISECONDS = 200;
 
-/** The response belongs to another request. */
-class StrayResponse extends Error {}
 /** A successful response lacks the target's signature. */
 class UnsignedResponse extends Error {}
 
@@ -72,6 +72,7 @@
     'recordSend' | 'recordAnswer' | 'recordEnd' | 'recordConnectFailure' | 'isHeard'
   >;
   readonly signalRecorder: TargetSignalRecorder;
+  readonly strayRecorder: StrayRecorder;
   readonly limits: Pick<TargetLimits, 'tryAcquire' | 'release'>;
   readonly codec: HeaderCodec;
   readonly service: ServiceTargets;
@@ -95,6 +96,7 @@
   readonly isKnownObject: boolean;
   /** True if this send holds a permit of the target's limit. */
   #holdsPermit: boolean;
+  readonly #usesOwnConnection: boolean;
   #cancelledBy: CancelCause | undefined;
   #isAbandoned = false;
   #metadata: ResponseMetadata | undefined;
@@ -110,13 +112,14 @@
     this.isKnownObject = target.hasCached(affinityKeyOf(options.exchange), this.sentAt);
     target.inFlight++;
     options.reachability.recordSend(target);
+    this.#usesOwnConnection = options.service.isConnectionReuseDisabled;
     this.#send = options.client.send({
       address: target.record.address,
       method: options.exchange.request.method ?? 'GET',
       path: options.exchange.path,
       headers: this.#headers(),
       body: options.exchange.body,
-      usesOwnConnection: options.service.isConnectionReuseDisabled,
+      usesOwnConnection: this.#usesOwnConnection,
       isStillAllowed: () => this.#isStillAllowed(),
       checkHead: (status, headers) => this.#checkHead(status, headers),
       receiver: this.#receiver(),
@@ -218,16 +221,22 @@
   }
 
   #checkHead(status: number, headers: TargetResponse['headers']): Error | undefined {
-    const { codec, exchange, signalRecorder, service, target } = this.#options;
+    const { codec, exchange, signalRecorder, strayRecorder, service, target } = this.#options;
     const metadata = codec.decodeResponse(status, headers);
+    // Whatever the response says, the path to the target works.
     this.#options.reachability.recordAnswer(target);
+    const stray = findStray(status, metadata, {
+      requestId: exchange.requestId,
+      isFirstOnConnection: this.#usesOwnConnection,
+    });
+    if (stray !== undefined) {
+      strayRecorder.record(service, target, stray);
+      return stray;
+    }
     this.#metadata = metadata;
     if (metadata.isOtherTarget) {
       return undefined;
     }
-    if (!metadata.isNotRun && metadata.requestId !== exchange.requestId) {
-      return new StrayResponse(`the answer is to request ${metadata.requestId ?? 'without id'}`);
-    }
     signalRecorder.recordResponse(service, target, metadata, this.sentAt);
     return !metadata.isNotRun && isSuccess(status) && !metadata.isSigned
       ? new UnsignedResponse('a success without the target’s mark')
@@ -246,16 +255,16 @@
     }
     const { response } = outcome;
     const metadata = this.#metadataOf(response);
+    if (metadata.isOtherTarget) {
+      target.recordReplaced();
+      return { kind: 'not-run', reason: 'target-refused', detail: 'another target answers there' };
+    }
     if (metadata.load !== undefined) {
       target.recordLoad(metadata.load, now);
     }
     if (metadata.coldMilliseconds !== undefined) {
       target.recordCold(metadata.coldMilliseconds, now);
     }
-    if (metadata.isOtherTarget) {
-      target.recordReplaced();
-      return { kind: 'not-run', reason: 'target-refused', detail: 'another target answers there' };
-    }
     if (metadata.isNotRun) {
       target.recordShed(now);
       return { kind: 'not-run', reason: 'target-refused', detail: `status ${response.status}` };
--- a/packages/entry/tests/request/target-send.test.ts
+++ b/packages/entry/tests/request/target-send.test.ts
@@ -6,16 +6,16 @@
   ServiceTargets,
 } from '@ferrylock/routing';
 import { FakeClock, makeRoute, makeTargetRecord } from '@ferrylock/test-utils';
-import { silentLogger } from '@ferrylock/utils';
 import { describe, expect, it } from 'vitest';
-import { EventLog, TargetSignalRecorder } from '../../src/index.js';
+import { TargetSignalRecorder } from '../../src/index.js';
 import type { ResponseMetadata, HeaderCodec } from '../../src/index.js';
 import type { RoutedExchange } from '../../src/request/caller-exchange.js';
 import type { SendHandle, SendOutcome, TargetRequest } from '../../src/request/target-client.js';
 import { SendCancelled } from '../../src/request/target-client.js';
+import { StrayRecorder } from '../../src/request/stray-recorder.js';
 import { TargetSend } from '../../src/request/target-send.js';
 import type { TargetSendOptions } from '../../src/request/target-send.js';
-import { makeReachability } from '../fixtures.js';
+import { captureEvents, makeReachability } from '../fixtures.js';
 
 /**
  * Guards against losing the signals of remote targets when callers disconnect before a response.
@@ -36,13 +36,26 @@
   unknownHeaders: [],
 };
 
+/** What a refusal tells of its target. */
+const PUSHBACK = {
+  restMilliseconds: REST_MILLISECONDS,
+  limitPerSecond: 1,
+  isLeaving: true,
+  load: { running: 6, queued: 6, slots: 6 },
+  coldMilliseconds: 9_000,
+};
+
 const dialect = {
   consumedHeaders: new Set<string>(),
   encodeForward: () => ({}),
-  decodeResponse: (status: number) =>
-    status === 503
-      ? { ...METADATA, isNotRun: true, restMilliseconds: REST_MILLISECONDS }
-      : METADATA,
+  decodeResponse: (status: number, { id = 'request-1' }: IncomingHttpHeaders) => ({
+    ...METADATA,
+    requestId: typeof id === 'string' && id !== '' ? id : undefined,
+    ...(status === 503 ? { isNotRun: true, restMilliseconds: REST_MILLISECONDS } : {}),
+    ...(status === 429 ? { isNotRun: true, ...PUSHBACK } : {}),
+    ...(status === 400 ? { isNotRun: true } : {}),
+    ...(status === 421 ? { isOtherTarget: true, ...PUSHBACK } : {}),
+  }),
 } satisfies Partial<HeaderCodec>;
 
 /** A send that the test controls. */
@@ -71,17 +84,25 @@
     this.#settle({ kind, error: new SendCancelled('given up') });
   }
 
-  turnAway(): void {
-    const headers: IncomingHttpHeaders = {};
-    this.request.checkHead(503, headers);
+  turnAway(status = 503, headers: IncomingHttpHeaders = {}): void {
+    const error = this.request.checkHead(status, headers);
+    if (error !== undefined) {
+      this.#settle({ kind: 'broken', error });
+      return;
+    }
     this.#settle({
       kind: 'answered',
-      response: { status: 503, headers, body: Buffer.alloc(0), isDelimited: true },
+      response: { status, headers, body: Buffer.alloc(0), isDelimited: true },
     });
   }
 }
 
-function setUp({ limitPerSecond }: { limitPerSecond?: number } = {}) {
+interface SetUpOptions {
+  readonly limitPerSecond?: number;
+  readonly usesOwnConnection?: boolean;
+}
+
+function setUp({ limitPerSecond, usesOwnConnection = false }: SetUpOptions = {}) {
   const clock = new FakeClock();
   const bound = { share: 0.15, windowMilliseconds: 2_000 };
   const service = new ServiceTargets('verdict-api', {
@@ -104,10 +125,14 @@
     throw new Error('expected a target');
   }
   target.signals.limit.record(limitPerSecond, { sentAt: 0, now: 0 });
+  if (usesOwnConnection) {
+    service.disableConnectionReuse();
+  }
   /** Calls to the target's limit. */
   const limitCalls: ('asked' | 'back')[] = [];
   const sends: ControlledSend[] = [];
-  const events = new EventLog(silentLogger);
+  const { log: events, events: written } = captureEvents();
+  const strayRecorder = new StrayRecorder(events);
   const exchange = {
     request: { method: 'GET', headers: {} },
     path: '/verdicts/1',
@@ -127,6 +152,7 @@
       },
     },
     signalRecorder: new TargetSignalRecorder({ clock, events, onLimitChange: () => undefined }),
+    strayRecorder,
     limits: {
       tryAcquire: () => {
         limitCalls.push('asked');
@@ -147,7 +173,7 @@
   if (controlled === undefined) {
     throw new Error('expected a send');
   }
-  return { clock, target, send, controlled, limitCalls };
+  return { clock, service, target, send, controlled, limitCalls, strayRecorder, written };
 }
 
 describe('a send whose caller disconnects', () => {
@@ -221,3 +247,78 @@
     expect(limitCalls).toEqual(['asked']);
   });
 });
+
+describe('a response with the id of another request', () => {
+  // Guards against a surplus refusal that is taken for the answer to the next request, which runs.
+  it.each([503, 429, 400, 421])(
+    'with status %i does not tell that this request has not run',
+    async (status) => {
+      const { send, controlled, strayRecorder } = setUp();
+      controlled.start();
+      controlled.turnAway(status, { id: 'request-0' });
+      expect(await send.verdict).toMatchObject({ kind: 'unknown', reason: 'target-failed' });
+      const kind = status === 421 ? 'misdirected' : 'refusal';
+      expect(strayRecorder.counts).toEqual([{ kind, id: 'other', count: 1 }]);
+    },
+  );
+
+  // Guards against late words of a target that are taken for its present state.
+  it.each([429, 421])(
+    'with status %i changes nothing that is known of the target',
+    async (status) => {
+      const { clock, service, target, send, controlled } = setUp();
+      const load = target.load(clock.now());
+      controlled.start();
+      controlled.turnAway(status, { id: 'request-0' });
+      await send.verdict;
+      expect(target.isResting(clock.now())).toBe(false);
+      expect(target.signals.isLeaving).toBe(false);
+      expect(target.signals.limit.perSecond).toBeUndefined();
+      expect(target.load(clock.now())).toBe(load - 1);
+      expect(service.targets.get(target.id)).toBe(target);
+      expect(target.leaving).toBe(false);
+      expect(service.isConnectionReuseDisabled).toBe(true);
+    },
+  );
+
+  it('is named with its request', async () => {
+    const { send, controlled } = setUp();
+    controlled.start();
+    controlled.turnAway(503, { id: 'request-0' });
+    expect(await send.verdict).toMatchObject({ detail: 'a refusal with status 503 is to request-0' });
+  });
+});
+
+describe('a response with the id of this request', () => {
+  // Guards against the load of another target that answers at the address of this one.
+  it('from another target does not tell the load of this one', async () => {
+    const { clock, target, send, controlled } = setUp();
+    const load = target.load(clock.now());
+    controlled.start();
+    controlled.turnAway(421);
+    expect(await send.verdict).toMatchObject({ kind: 'not-run' });
+    expect(target.load(clock.now())).toBe(load - 1);
+  });
+});
+
+describe('a refusal without an id', () => {
+  it.each([503, 421])(
+    'with status %i tells nothing on a connection that carried other requests',
+    async (status) => {
+      const { send, controlled, strayRecorder, written } = setUp();
+      controlled.start();
+      controlled.turnAway(status, { id: '' });
+      expect(await send.verdict).toMatchObject({ kind: 'unknown' });
+      expect(strayRecorder.counts).toMatchObject([{ id: 'missing', count: 1 }]);
+      expect(written).toContainEqual(expect.objectContaining({ event: 'unreadable-answer' }));
+    },
+  );
+
+  it.each([503, 421])('with status %i counts on a connection of its own', async (status) => {
+    const { send, controlled } = setUp({ usesOwnConnection: true });
+    expect(controlled.request.usesOwnConnection).toBe(true);
+    controlled.start();
+    controlled.turnAway(status, { id: '' });
+    expect(await send.verdict).toMatchObject({ kind: 'not-run' });
+  });
+});
