fix(entry): a host's verdict on another request handed over is none on this one

Cause: a host that hands a request over took the first response on the connection for the verdict on it, whatever request it was to. A refusal that says "not run" lets the request go to a second host.

Evidence: 'takes a response to another request for none to this one' on the former sources: the request goes to a second host (`checkHead` of a handover accepted everything); now its outcome is unknown.

Change: the handover names the request's id, the receiving host repeats it in its response (`ferrylock-handover-request`), and another id ends the handover as lost. Hosts of older releases name none and are believed as before.

--- a/packages/entry/src/handover/handover-headers.ts
+++ b/packages/entry/src/handover/handover-headers.ts
@@ -6,6 +6,8 @@
 export const HANDOVER_HEADER = 'ferrylock-handover';
 /** Header of the response to it; hosts never take it from a target. */
 export const HANDOVER_RESULT_HEADER = 'ferrylock-handover-result';
+/** Header of the response that names the request it belongs to. */
+export const HANDOVER_REQUEST_HEADER = 'ferrylock-handover-request';
 /** Result of a request that a target answered. */
 export const ANSWERED = 'answered';
 
@@ -21,6 +23,8 @@
   milliseconds: z.coerce.number().int().nonnegative(),
   /** Sends that may have reached targets already. */
   attempts: z.coerce.number().int().nonnegative(),
+  /** Id of the request, which the response names; absent if the sender is of an older release. */
+  requestId: z.string().min(1).optional(),
 });
 
 export type Handover = z.infer<typeof handoverSchema>;
@@ -52,11 +56,10 @@
   return parse(refusalSchema, header);
 }
 
-function encode(fields: Readonly<Record<string, string | number>>): string {
-  const texts = Object.entries(fields).map(([name, value]): [string, string] => [
-    name,
-    String(value),
-  ]);
+function encode(fields: Readonly<Record<string, string | number | undefined>>): string {
+  const texts = Object.entries(fields)
+    .filter(([, value]) => value !== undefined)
+    .map(([name, value]): [string, string] => [name, String(value)]);
   return new URLSearchParams(texts).toString();
 }
 
--- a/packages/entry/src/handover/handover-receiver.ts
+++ b/packages/entry/src/handover/handover-receiver.ts
@@ -6,6 +6,7 @@
 import {
   encodeRefusal,
   HANDOVER_HEADER,
+  HANDOVER_REQUEST_HEADER,
   HANDOVER_RESULT_HEADER,
   parseHandover,
 } from './handover-headers.js';
@@ -46,6 +47,9 @@
       reject(response);
       return;
     }
+    if (handover.requestId !== undefined) {
+      response.setHeader(HANDOVER_REQUEST_HEADER, handover.requestId);
+    }
     const admitted = admission.begin(handover);
     if (admitted.isErr()) {
       this.rejected++;
--- a/packages/entry/src/handover/request-handover.ts
+++ b/packages/entry/src/handover/request-handover.ts
@@ -1,3 +1,4 @@
+import type { IncomingHttpHeaders } from 'node:http';
 import type { Clock } from '@ferrylock/utils';
 import type { EventLog } from '../event-log.js';
 import type { EntryEvent } from '../events.js';
@@ -12,6 +13,7 @@
   ANSWERED,
   encodeHandover,
   HANDOVER_HEADER,
+  HANDOVER_REQUEST_HEADER,
   HANDOVER_RESULT_HEADER,
   parseRefusal,
 } from './handover-headers.js';
@@ -30,6 +32,11 @@
   readonly ownIncarnation: string;
 }
 
+/** Headers between hosts that callers do not get. */
+const OWN_RESPONSE_HEADERS: ReadonlySet<string> = new Set([
+  HANDOVER_RESULT_HEADER,
+  HANDOVER_REQUEST_HEADER,
+]);
 const NOT_TAKEN: HandoverRefusal = { reason: 'targets-unreachable', ran: 'no' };
 
 /** Outcome of handing a request over to one host. */
@@ -70,7 +77,7 @@
       body: exchange.body,
       usesOwnConnection: false,
       isStillAllowed: () => !this.#isCancelled,
-      checkHead: () => undefined,
+      checkHead: (_status, headers) => this.#checkHead(headers),
     });
     this.verdict = this.#judge();
   }
@@ -89,10 +96,19 @@
       toIncarnation: this.peer.incarnation,
       milliseconds: Math.max(1, Math.floor(this.exchange.deadlineAt - this.sentAt)),
       attempts,
+      requestId: this.exchange.requestId,
     });
     return { ...forwardableHeaders(this.exchange.request.headers), [HANDOVER_HEADER]: handover };
   }
 
+  /** A response to another request says nothing of this one; hosts of older releases name none. */
+  #checkHead(headers: IncomingHttpHeaders): Error | undefined {
+    const answered = headers[HANDOVER_REQUEST_HEADER];
+    return answered === undefined || answered === this.exchange.requestId
+      ? undefined
+      : new Error(`the host answered request ${String(answered)}`);
+  }
+
   async #judge(): Promise<HandoverVerdict> {
     const outcome = await this.#send.outcome;
     this.#options.peers.end(this.peer);
@@ -136,7 +152,8 @@
  * host that takes no such request sends neither.
  */
 function judgeResponse(received: TargetResponse): HandoverVerdict {
-  const { [HANDOVER_RESULT_HEADER]: result, ...headers } = received.headers;
+  const result = received.headers[HANDOVER_RESULT_HEADER];
+  const headers = forwardableHeaders(received.headers, OWN_RESPONSE_HEADERS);
   if (result === ANSWERED) {
     return { kind: 'answered', response: { ...received, headers } };
   }
--- a/packages/entry/tests/handover/handover-controller.test.ts
+++ b/packages/entry/tests/handover/handover-controller.test.ts
@@ -8,6 +8,7 @@
   ANSWERED,
   encodeRefusal,
   HANDOVER_HEADER,
+  HANDOVER_REQUEST_HEADER,
   HANDOVER_RESULT_HEADER,
   parseHandover,
 } from '../../src/handover/handover-headers.js';
@@ -88,6 +89,7 @@
       toIncarnation: `of ${sent[0]?.address}`,
       milliseconds: 900,
       attempts: 0,
+      requestId: 'request-1',
     });
     expect(events).toEqual([
       expect.objectContaining({
@@ -99,6 +101,31 @@
     ]);
   });
 
+  // Guards against a refusal of another request after which this one is sent to a second host.
+  it('takes a response to another request for none to this one', async () => {
+    const stray: Reply = (request) => {
+      const error = request.checkHead(503, { [HANDOVER_REQUEST_HEADER]: 'request-0' });
+      return error === undefined
+        ? refuse({ reason: 'overload', ran: 'no' })(request)
+        : { kind: 'broken', error };
+    };
+    const { run, sent, progress, events } = setUp('once', [stray, SERVED]);
+    expect(await run()).toBeUndefined();
+    expect(sent).toHaveLength(1);
+    expect(progress.outcome).toMatchObject({ ran: 'unknown' });
+    expect(events).toMatchObject([
+      { outcome: 'lost', detail: 'the host answered request request-0' },
+    ]);
+  });
+
+  it('takes the response to its request, and that of a host that names none', async () => {
+    const { run, sent } = setUp('once', [SERVED]);
+    await run();
+    for (const headers of [{}, { [HANDOVER_REQUEST_HEADER]: 'request-1' }]) {
+      expect(sent[0]?.checkHead(200, headers)).toBeUndefined();
+    }
+  });
+
   it.each([
     ['it was not sent', NOT_SENT],
     ['the host refused it as not run', refuse({ reason: 'overload', ran: 'no' })],
--- a/packages/entry/tests/request/target-send.test.ts
+++ b/packages/entry/tests/request/target-send.test.ts
@@ -285,7 +285,9 @@
     const { send, controlled } = setUp();
     controlled.start();
     controlled.turnAway(503, { id: 'request-0' });
-    expect(await send.verdict).toMatchObject({ detail: 'a refusal with status 503 is to request-0' });
+    expect(await send.verdict).toMatchObject({
+      detail: 'a refusal with status 503 is to request-0',
+    });
   });
 });
 
