feat(entry): each request that a stop cuts is logged by its id

What callers saw: a connection that closed without an answer; `stopped` told how many, and the refusals of a stop could be counted, but nothing told which requests were cut, nor how far they had come.

Change: `cut` names request, route, account, stage (unsent, sent to a target, answer in transfer), its age and the time it still had; `explain` shows it. Refusals count as `stopping/no` in `ferrylock_requests_total` already. `ForwardedRequests` holds the requests in flight, of which those that may be repeated are still given up when their targets cannot be heard.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -300,6 +300,7 @@
       trafficServer: this.#trafficServer,
       leave: () => this.#member.leave(),
       close: () => this.close(),
+      forwarder: this.#forwarder,
     });
     return shutdown.run();
   }
--- a/packages/entry/src/events.ts
+++ b/packages/entry/src/events.ts
@@ -52,6 +52,16 @@
     /** The client accounts with the most requests and those with the lowest success rate. */
     accounts: z.array(accountRowSchema),
   }),
+  /** A request or its answer was aborted at the end of a graceful shutdown. */
+  z.object({
+    event: z.literal('cut'),
+    ...requestFields,
+    /** Whether it had been sent to a target, or its answer was being passed on. */
+    stage: z.enum(['unsent', 'sent', 'transfer']),
+    milliseconds: z.number(),
+    /** Time that the request would still have had. */
+    remainingMilliseconds: z.number(),
+  }),
   /** The settings were reloaded. */
   z.object({ event: z.literal('reloaded') }),
   /** The event loop was blocked or the process was frozen. */
--- a/packages/entry/src/graceful-shutdown.ts
+++ b/packages/entry/src/graceful-shutdown.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '@ferrylock/utils';
 import type { EventLog } from './event-log.js';
+import type { RequestForwarder } from './request/request-forwarder.js';
 import type { RequestMetrics } from './request/request-metrics.js';
 import type { TrafficServer } from './servers/traffic-server.js';
 import type { ShutdownWindow } from './shutdown-window.js';
@@ -23,6 +24,7 @@
   >;
   /** Announces that this host is leaving; resolves once it is deregistered. */
   readonly leave: () => Promise<void>;
+  readonly forwarder: Pick<RequestForwarder, 'logCut'>;
   /** Closes callers' connections first, then all others; may take as long as the store does. */
   readonly close: () => Promise<void>;
 }
@@ -51,6 +53,7 @@
       await clock.sleep(CHECK_MILLISECONDS);
     }
     const cut = this.#unfinished;
+    this.#options.forwarder.logCut();
     events.write({ event: 'stopped', cut, accounts: metrics.accounts.rows });
     await this.#waitUntil(
       Math.min(abortsAt, clock.now() + DEREGISTRATION_MILLISECONDS),
--- a/packages/entry/src/request/request-forwarder.ts
+++ b/packages/entry/src/request/request-forwarder.ts
@@ -1,10 +1,11 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { ClientAccount, TargetState } from '@ferrylock/routing';
-import { isRepeatable, TrafficSplitter } from '@ferrylock/routing';
+import { TrafficSplitter } from '@ferrylock/routing';
 import { originElsewhere, originOf } from './response-origin.js';
 import type { RoutedExchange } from './caller-exchange.js';
 import { affinityKeyOf } from './caller-exchange.js';
 import { hasDisconnected } from './has-disconnected.js';
+import { ForwardedRequests } from './forwarded-requests.js';
 import type { ForwardingState } from './forwarding-state.js';
 import { DeniedRepeatLog } from './denied-repeat-log.js';
 import { failedSendEvent } from './failed-send-event.js';
@@ -30,12 +31,12 @@
   readonly #transfers: TransferController;
   readonly #shares = new TrafficSplitter();
   readonly #deniedRepeats: DeniedRepeatLog;
-  /** Requests that may be sent again, while they are forwarded. */
-  readonly #repeatable = new Set<ForwardingState>();
+  readonly #forwarded: ForwardedRequests;
 
   constructor(options: RequestForwarderOptions) {
     this.#options = options;
     this.#router = new RequestRouter(options);
+    this.#forwarded = new ForwardedRequests(options);
     this.#transfers = new TransferController(options);
     this.#deniedRepeats = new DeniedRepeatLog(options.clock, options.events);
   }
@@ -73,7 +74,7 @@
   }
 
   async #forward(exchange: RoutedExchange): Promise<void> {
-    const { state, clock, responses } = this.#options;
+    const { state, responses } = this.#options;
     const service = state.service(this.#shares.pick(exchange.route, affinityKeyOf(exchange)));
     if (service === undefined) {
       const detail = 'the service has no targets';
@@ -106,6 +107,13 @@
       responses.refuse(exchange, refusal);
       return;
     }
+    await this.#forwarded.track(forwarding, () => this.#serve(forwarding));
+  }
+
+  /** Sends the request to targets until it is answered, and passes the answer on. */
+  async #serve(forwarding: ForwardingState): Promise<void> {
+    const { exchange, progress } = forwarding;
+    const { clock } = this.#options;
     const cancel = (cause: CancelCause): void => {
       progress.cancelledBy ??= cause;
       forwarding.send?.cancel(cause);
@@ -115,9 +123,6 @@
         cancel('caller-gone');
       }
     };
-    if (isRepeatable(exchange.route.kind)) {
-      this.#repeatable.add(forwarding);
-    }
     exchange.response.on('close', onClose);
     const cancelTimer = clock.after(Math.max(0, exchange.deadlineAt - clock.now()), () => {
       cancel('deadline');
@@ -129,7 +134,6 @@
       await this.#sendToTargets(forwarding);
     } finally {
       cancelTimer();
-      this.#repeatable.delete(forwarding);
       forwarding.repeatPermit.release();
       exchange.response.off('close', onClose);
       this.#settleOnce(forwarding);
@@ -152,16 +156,16 @@
 
   /** Gives up sends whose targets cannot be heard, so that their requests are served elsewhere. */
   abandonUnheard(): void {
-    if (!this.#options.reachability.hasUnreachableDomains) {
-      return;
-    }
-    for (const { send } of this.#repeatable) {
-      if (send instanceof TargetSend) {
-        send.abandonIfUnheard();
-      }
+    if (this.#options.reachability.hasUnreachableDomains) {
+      this.#forwarded.abandonUnheard();
     }
   }
 
+  /** Logs each request that this host aborts as it stops. */
+  logCut(): void {
+    this.#forwarded.logCut();
+  }
+
   #settleOnce(forwarding: ForwardingState): void {
     if (!forwarding.isSettled) {
       forwarding.isSettled = true;
