fix(entry): requests on a connection that was not announced are answered

What callers saw: nothing yet; found on reading the diff. Since `CallerConnections` came, a request on a connection of which the server's `connection` event did not tell would have been left without an answer: a server that listens at a name with several addresses tells of the first address alone.

Change: such a connection is tracked from its first request on; a request on a closed connection is not taken.

Test: 'takes requests on a connection that it was not told of', which fails without the change by construction of the former condition (`undefined` was "not taken").

--- a/packages/entry/src/servers/caller-connections.ts
+++ b/packages/entry/src/servers/caller-connections.ts
@@ -35,21 +35,28 @@
     return [...this.#connections.values()].reduce((sum, { open }) => sum + open.size, 0);
   }
 
-  add(socket: Socket): void {
-    this.#connections.set(socket, new CallerConnection());
+  add(socket: Socket): CallerConnection {
+    const connection = new CallerConnection();
+    this.#connections.set(socket, connection);
     socket.once('close', () => {
       this.#connections.delete(socket);
     });
+    return connection;
   }
 
   /**
    * Begins a response.
    *
-   * @returns false if the connection closes after an earlier one, so that the request must not run
+   * @returns false if the connection is closed, or closes after an earlier response, so that the
+   * request must not run
    */
   begin(socket: Socket, response: ServerResponse): boolean {
-    const connection = this.#connections.get(socket);
-    if (connection === undefined || connection.hasToldClose) {
+    if (socket.destroyed) {
+      return false;
+    }
+    // A server that listens at several addresses of a name tells of connections to the first alone.
+    const connection = this.#connections.get(socket) ?? this.add(socket);
+    if (connection.hasToldClose) {
       return false;
     }
     connection.open.add(response);
