feat(entry): a refusal by the configuration tells at which step a change was late

Callers saw a 404 by an older version, and the line of it had how old the host's belief was, not what it had heard of. Four cases looked alike: never heard of, heard of but not fetched, fetched but not applied, applied after the request had come. No decision changes.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -20,6 +20,7 @@
 import { HandoverReceiver } from './handover/handover-receiver.js';
 import { PeerClient } from './peers/peer-client.js';
 import { UdpTransport } from './peers/udp-transport.js';
+import { ConfigurationKnowledge } from './request/configuration-knowledge.js';
 import { ResponseWriter } from './request/response-writer.js';
 import { partsEvent } from './accounts/fair-admission-log.js';
 import { FairAdmission } from '@ferrylock/routing';
@@ -189,7 +190,13 @@
         ...options,
         view,
         state,
-        viewExchange: this.#member.viewExchange,
+        knowledge: new ConfigurationKnowledge({
+          clock,
+          view,
+          state,
+          viewExchange: this.#member.viewExchange,
+          eventLoopDelay,
+        }),
         reachability,
         metrics: this.metrics,
       }),
--- a/packages/entry/src/event-loop-delay.ts
+++ b/packages/entry/src/event-loop-delay.ts
@@ -11,13 +11,20 @@
  */
 export class EventLoopDelay {
   #delayedAt: number;
+  #lastMilliseconds = 0;
 
   constructor(readonly clock: Clock) {
     this.#delayedAt = clock.now();
   }
 
+  /** The last recorded delay in milliseconds. */
+  get lastMilliseconds(): number {
+    return this.#lastMilliseconds;
+  }
+
   /** @param milliseconds - delay of a timer beyond its due time */
   record(milliseconds: number): void {
+    this.#lastMilliseconds = milliseconds;
     if (milliseconds > DELAY_THRESHOLD_MILLISECONDS) {
       this.#delayedAt = this.clock.now();
     }
--- a/packages/entry/src/events.ts
+++ b/packages/entry/src/events.ts
@@ -335,6 +335,8 @@
       .object({
         /** Time since the version became active on this host. */
         versionAgeMilliseconds: z.number(),
+        /** Version of the configuration in this host's replica of the store. */
+        heldVersion: z.number().optional(),
         /** Store revision up to which this host knows every change. */
         revision: z.number(),
         /** Last confirmation that the host was up to date: `store`, or a peer. */
@@ -342,6 +344,14 @@
         /** Calls to peers for changes since the start, and how many of them failed. */
         peerCalls: z.number(),
         failedPeerCalls: z.number(),
+        /** Newest revision that a peer has and this host lacks, and how long it has lacked one. */
+        missingRevision: z.number().optional(),
+        missingMilliseconds: z.number().optional(),
+        /** Time for which the oldest call to a peer has been without an answer. */
+        pendingCallMilliseconds: z.number().optional(),
+        /** Delay of the event loop, as last measured. */
+        eventLoopDelayMilliseconds: z.number(),
+        hostAgeMilliseconds: z.number(),
       })
       .optional(),
   }),
--- a/packages/entry/src/peers/peer-exchange.ts
+++ b/packages/entry/src/peers/peer-exchange.ts
@@ -258,6 +258,7 @@
     }
     this.#confirmations.apply(view);
     if (isAfter(lastChange, view.lastChange)) {
+      viewExchange.recordMissing(lastChange);
       viewExchange.fetchIfIdle(controlAddress);
       return;
     }
--- a/packages/entry/src/peers/view-exchange.ts
+++ b/packages/entry/src/peers/view-exchange.ts
@@ -3,7 +3,7 @@
 import type { EventLog } from '../event-log.js';
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { StorePosition } from '../fleet/store-position.js';
-import { epochOf } from '../fleet/store-position.js';
+import { epochOf, isAfter } from '../fleet/store-position.js';
 import type { PeerCalls } from './peer-calls.js';
 import type { DeltaParams, DeltaResult } from './peer-messages.js';
 
@@ -23,6 +23,13 @@
   readonly storeAnsweredAt: () => number;
 }
 
+/** A change that a peer has and this host lacks. */
+export interface MissingChange {
+  readonly revision: number;
+  /** Time since this host was first told of a change that it lacks. */
+  readonly milliseconds: number;
+}
+
 /** Serves store changes to peers over RPC and fetches changes from them. */
 export class ViewExchange {
   /** Number of calls to peers for changes. */
@@ -30,8 +37,10 @@
   failedCalls = 0;
   readonly #options: ViewExchangeOptions;
   readonly #throttle: Throttle;
-  /** Addresses of peers that have not answered yet. */
-  readonly #pendingFetches = new Set<string>();
+  /** Start of the call to each peer that has not answered yet, by address. */
+  readonly #pendingFetches = new Map<string, number>();
+  /** Newest change that a peer reported, and when this host began to lack one. */
+  #reported: { readonly position: StorePosition; readonly lackingSince: number } | undefined;
   #fetchedAt = -Infinity;
 
   constructor(options: ViewExchangeOptions) {
@@ -39,6 +48,39 @@
     this.#throttle = new Throttle(options.clock, LOG_INTERVAL_MILLISECONDS);
   }
 
+  /** The newest change that a peer reported and this host lacks; undefined if there is none. */
+  get missing(): MissingChange | undefined {
+    const reported = this.#lacking();
+    return (
+      reported && {
+        revision: reported.position.revision,
+        milliseconds: this.#options.clock.now() - reported.lackingSince,
+      }
+    );
+  }
+
+  /** Time for which the oldest call without an answer has lasted; undefined if there is none. */
+  get pendingMilliseconds(): number | undefined {
+    const startedAt = Math.min(...this.#pendingFetches.values());
+    return Number.isFinite(startedAt) ? this.#options.clock.now() - startedAt : undefined;
+  }
+
+  /** Records that a peer has a change that this host lacks. */
+  recordMissing(position: StorePosition): void {
+    const former = this.#lacking();
+    if (former === undefined || isAfter(position, former.position)) {
+      const lackingSince = former?.lackingSince ?? this.#options.clock.now();
+      this.#reported = { position, lackingSince };
+    }
+  }
+
+  #lacking() {
+    const reported = this.#reported;
+    const isLacking =
+      reported !== undefined && isAfter(reported.position, this.#options.view.lastChange);
+    return isLacking ? reported : undefined;
+  }
+
   /** Returns the changes that a peer lacks, or a snapshot. */
   deltaFor({ afterRevision, afterEpoch }: DeltaParams): DeltaResult {
     const { view } = this.#options;
@@ -107,7 +149,7 @@
       return false;
     }
     this.#fetchedAt = now;
-    pending.add(address);
+    pending.set(address, now);
     void this.fetchFrom(address).finally(() => {
       pending.delete(address);
     });
--- a/packages/entry/src/request/response-writer.ts
+++ b/packages/entry/src/request/response-writer.ts
@@ -1,13 +1,12 @@
 import { jittered } from '@ferrylock/utils';
 import type { Clock, Random } from '@ferrylock/utils';
 import type { EventLog } from '../event-log.js';
-import type { EntryEvent } from '../events.js';
 import type { FleetView } from '../fleet/fleet-view.js';
 import { ANSWERED, encodeRefusal, HANDOVER_RESULT_HEADER } from '../handover/handover-headers.js';
 import type { TargetReachability } from '../reachability/target-reachability.js';
 import type { RoutingState } from '../routing/routing-state.js';
-import type { ViewExchange } from '../peers/view-exchange.js';
 import type { CallerExchange, RoutedExchange } from './caller-exchange.js';
+import type { ConfigurationKnowledge } from './configuration-knowledge.js';
 import type { HeaderCodec } from './header-codec.js';
 import { forwardableHeaders } from './forwardable-headers.js';
 import type { Refusal } from './refusal.js';
@@ -37,7 +36,7 @@
   readonly events: EventLog;
   readonly view: FleetView;
   readonly state: Pick<RoutingState, 'active'>;
-  readonly viewExchange: Pick<ViewExchange, 'calls' | 'failedCalls'>;
+  readonly knowledge: Pick<ConfigurationKnowledge, 'describe'>;
   readonly reachability: Pick<TargetReachability, 'unreachableMilliseconds'>;
   readonly codec: HeaderCodec;
   readonly metrics: RequestMetrics;
@@ -185,7 +184,7 @@
       beliefAgeMilliseconds: Math.round(clock.now() - view.confirmedAt),
       ...this.#unreachable(),
       ...fromOf(exchange),
-      ...(isByConfiguration(refusal) ? this.#knowledge() : {}),
+      ...(isByConfiguration(refusal) ? { knowledge: this.#options.knowledge.describe() } : {}),
     });
   }
 
@@ -196,24 +195,6 @@
       ? {}
       : { unreachableMilliseconds: Math.round(unreachableMilliseconds) };
   }
-
-  /** What this host knew when it applied its configuration to a request. */
-  #knowledge(): Pick<Extract<EntryEvent, { event: 'refused' }>, 'knowledge'> {
-    const { clock, state, view, viewExchange } = this.#options;
-    const { active } = state;
-    if (active === undefined) {
-      return {};
-    }
-    return {
-      knowledge: {
-        versionAgeMilliseconds: Math.round(clock.now() - active.activeSince),
-        revision: view.revision,
-        confirmedBy: view.confirmation.source,
-        peerCalls: viewExchange.calls,
-        failedPeerCalls: viewExchange.failedCalls,
-      },
-    };
-  }
 }
 
 /** Host that handed a request over. */
--- a/packages/entry/tests/peers/view-exchange.test.ts
+++ b/packages/entry/tests/peers/view-exchange.test.ts
@@ -3,7 +3,7 @@
 import { expect, it } from 'vitest';
 import { FleetView } from '../../src/index.js';
 import { ViewExchange } from '../../src/peers/view-exchange.js';
-import { captureEvents } from '../fixtures.js';
+import { captureEvents, configurationChange } from '../fixtures.js';
 
 it('counts and logs calls that peers do not answer', async () => {
   const clock = new FakeClock();
@@ -46,3 +46,28 @@
   expect(viewExchange.fetchIfIdle('10.0.0.2:2')).toBe(true);
   expect(asked).toEqual(['10.0.0.1:2', '10.0.0.2:2']);
 });
+
+// Guards against a late change of which no log line tells whether the host had heard of it.
+it('tells how long it has lacked a change that peers have, and has waited for an answer', async () => {
+  const clock = new FakeClock();
+  const view = new FleetView();
+  const viewExchange = new ViewExchange({
+    clock,
+    events: captureEvents().log,
+    view,
+    client: { delta: () => new Promise(() => undefined), close: () => Promise.resolve() },
+    storeAnsweredAt: () => -Infinity,
+  });
+  expect(viewExchange.missing).toBeUndefined();
+  expect(viewExchange.pendingMilliseconds).toBeUndefined();
+  viewExchange.recordMissing({ epoch: 0, revision: 7 });
+  await clock.advance(100);
+  viewExchange.fetchIfIdle('10.0.0.1:2');
+  viewExchange.recordMissing({ epoch: 0, revision: 9 });
+  viewExchange.recordMissing({ epoch: 0, revision: 8 });
+  await clock.advance(200);
+  expect(viewExchange.missing).toEqual({ revision: 9, milliseconds: 300 });
+  expect(viewExchange.pendingMilliseconds).toBe(200);
+  view.replace({ epoch: 0, revision: 9 }, [configurationChange(9)]);
+  expect(viewExchange.missing).toBeUndefined();
+});
--- a/packages/entry/tests/request/response-writer.test.ts
+++ b/packages/entry/tests/request/response-writer.test.ts
@@ -3,6 +3,7 @@
 import { describe, expect, it } from 'vitest';
 import { FleetView } from '../../src/index.js';
 import { HANDOVER_RESULT_HEADER, parseRefusal } from '../../src/handover/handover-headers.js';
+import { ConfigurationKnowledge } from '../../src/request/configuration-knowledge.js';
 import { RequestMetrics } from '../../src/request/request-metrics.js';
 import { originElsewhere } from '../../src/request/response-origin.js';
 import { ResponseWriter } from '../../src/request/response-writer.js';
@@ -23,7 +24,18 @@
     events: log,
     view,
     state,
-    viewExchange: { calls: 5, failedCalls: 2 },
+    knowledge: new ConfigurationKnowledge({
+      clock,
+      view,
+      state,
+      viewExchange: {
+        calls: 5,
+        failedCalls: 2,
+        missing: { revision: 8, milliseconds: 350.2 },
+        pendingMilliseconds: 90.4,
+      },
+      eventLoopDelay: { lastMilliseconds: 155.3 },
+    }),
     codec: {
       consumedHeaders: new Set(),
       consumedResponseHeaders: new Set(),
@@ -54,10 +66,16 @@
     unreachableMilliseconds: 1_200,
     knowledge: {
       versionAgeMilliseconds: 400,
+      heldVersion: 7,
       revision: 6,
       confirmedBy: 'host-2',
       peerCalls: 5,
       failedPeerCalls: 2,
+      missingRevision: 8,
+      missingMilliseconds: 350,
+      pendingCallMilliseconds: 90,
+      eventLoopDelayMilliseconds: 155,
+      hostAgeMilliseconds: 400,
     },
   });
 });
