--- a/packages/entry/src/request/request-forwarder.ts
+++ b/packages/entry/src/request/request-forwarder.ts
@@ -29,13 +29,14 @@
   readonly #options: RequestForwarderOptions;
   readonly #router: RequestRouter;
   readonly #transfers: TransferController;
-  readonly #shares = new TrafficSplitter();
+  readonly #shares: TrafficSplitter;
   readonly #deniedRepeats: DeniedRepeatLog;
   readonly #forwarded: ForwardedRequests;
 
   constructor(options: RequestForwarderOptions) {
     this.#options = options;
     this.#router = new RequestRouter(options);
+    this.#shares = new TrafficSplitter({ hostName: options.ownName });
     this.#forwarded = new ForwardedRequests(options);
     this.#transfers = new TransferController(options);
     this.#deniedRepeats = new DeniedRepeatLog(options.clock, options.events);
--- a/packages/routing/src/traffic-splitter.ts
+++ b/packages/routing/src/traffic-splitter.ts
@@ -31,6 +31,10 @@
   }
 }
 
+export interface TrafficSplitterOptions {
+  readonly hostName: string;
+}
+
 /**
  * Splits the requests of a route among services by weight. A key stays with one service, which has
  * its object cached, unless the recent share of that service would exceed its weight: hashing few
@@ -39,6 +43,8 @@
 export class TrafficSplitter {
   readonly #recent = new Map<string, RecentShares>();
 
+  constructor(readonly options: TrafficSplitterOptions) {}
+
   pick(route: Route, key: string): string {
     const preferred = pickWeightedService(route, key);
     if (route.shares.length === 1) {
--- a/packages/routing/tests/traffic-splitter.test.ts
+++ b/packages/routing/tests/traffic-splitter.test.ts
@@ -16,7 +16,7 @@
     ['many keys', 500, { a: 90, b: 10 }],
     ['three services', 24, { a: 60, b: 25, c: 15 }],
   ])('matches the weights with %s', (_case, keys, weights) => {
-    const splitter = new TrafficSplitter();
+    const splitter = new TrafficSplitter({ hostName: 'host-1' });
     const random = new SeededRandom(7);
     const route = makeSplit(weights);
     const counts = new Map<string, number>();
@@ -30,7 +30,7 @@
   });
 
   it('keeps most requests of a key on one service', () => {
-    const splitter = new TrafficSplitter();
+    const splitter = new TrafficSplitter({ hostName: 'host-1' });
     const random = new SeededRandom(7);
     const route = makeSplit({ a: 50, b: 50 });
     const byKey = new Map<string, Map<string, number>>();
@@ -49,7 +49,7 @@
   });
 
   it('adapts to new weights', () => {
-    const splitter = new TrafficSplitter();
+    const splitter = new TrafficSplitter({ hostName: 'host-1' });
     for (let request = 0; request < 300; request++) {
       splitter.pick(makeSplit({ a: 100, b: 0 }), `object-${request % 10}`);
     }
