--- a/packages/entry/src/request/request-forwarder.ts
+++ b/packages/entry/src/request/request-forwarder.ts
@@ -29,14 +29,17 @@
   readonly #options: RequestForwarderOptions;
   readonly #router: RequestRouter;
   readonly #transfers: TransferController;
-  readonly #shares: TrafficSplitter;
+  readonly #splitter: TrafficSplitter;
   readonly #deniedRepeats: DeniedRepeatLog;
   readonly #forwarded: ForwardedRequests;
 
   constructor(options: RequestForwarderOptions) {
     this.#options = options;
     this.#router = new RequestRouter(options);
-    this.#shares = new TrafficSplitter({ hostName: options.ownName });
+    options.state.onConfiguration(({ routes }) => {
+      this.#splitter.retain(routes);
+    });
+    this.#splitter = new TrafficSplitter({ hostName: options.ownName });
     this.#forwarded = new ForwardedRequests(options);
     this.#transfers = new TransferController(options);
     this.#deniedRepeats = new DeniedRepeatLog(options.clock, options.events);
@@ -76,7 +79,7 @@
 
   async #forward(exchange: RoutedExchange): Promise<void> {
     const { state, responses } = this.#options;
-    const service = state.service(this.#shares.pick(exchange.route, affinityKeyOf(exchange)));
+    const service = state.service(this.#splitter.pick(exchange.route, affinityKeyOf(exchange)));
     if (service === undefined) {
       const detail = 'the service has no targets';
       this.#settle(exchange.account, 0);
--- a/packages/routing/src/overflow-budget.ts
+++ b/packages/routing/src/overflow-budget.ts
@@ -1,8 +1,7 @@
-import { stableHash } from '@ferrylock/utils';
+import { stablePosition } from '@ferrylock/utils';
 import type { Clock } from '@ferrylock/utils';
 import { SlidingWindowCounter } from './sliding-window-counter.js';
 
-const HASH_RANGE = 0x1_0000_0000;
 /** Share of the limit reserved for keys that change their region. */
 const PLACEMENT_SHARE = 0.4;
 /** Share of the limit reserved for requests that leave their region because of a wait. */
@@ -58,7 +57,7 @@
     this.#requests = new SlidingWindowCounter(clock, bound.windowMilliseconds);
     this.#overflows = new SlidingWindowCounter(clock, bound.windowMilliseconds);
     this.#share = OVERFLOW_SHARE * bound.share;
-    this.#position = stableHash(`overflow ${ownName}`) / HASH_RANGE;
+    this.#position = stablePosition(`overflow ${ownName}`);
   }
 
   /**
--- a/packages/routing/src/region-placement.ts
+++ b/packages/routing/src/region-placement.ts
@@ -1,4 +1,4 @@
-import { stableHash } from '@ferrylock/utils';
+import { stableHash, stablePosition } from '@ferrylock/utils';
 import type { DisabledMechanisms } from './mechanisms.js';
 
 const HASH_RANGE = 0x1_0000_0000;
@@ -169,7 +169,7 @@
 
 /** Position of the key from 0 to 1; a region keeps the keys below its home share. */
 function keyPosition(key: string): number {
-  return stableHash(`home ${key}`) / HASH_RANGE;
+  return stablePosition(`home ${key}`);
 }
 
 /**
--- a/packages/routing/src/retry-budget.ts
+++ b/packages/routing/src/retry-budget.ts
@@ -1,4 +1,4 @@
-import { stableHash } from '@ferrylock/utils';
+import { stablePosition } from '@ferrylock/utils';
 import type { Clock } from '@ferrylock/utils';
 import { SlidingWindowCounter } from './sliding-window-counter.js';
 
@@ -10,7 +10,6 @@
 const SLACK_UTILIZATION = 0.65;
 /** Part of a window for which credit of the slack is saved, so that services with few requests have whole retries. */
 const SLACK_SAVED_WINDOWS = 0.45;
-const HASH_RANGE = 0x1_0000_0000;
 
 /** Limit on the retries of a service over all entry hosts together. */
 export interface RetryBudgetSettings {
@@ -76,7 +75,7 @@
     );
     this.#requests = new SlidingWindowCounter(clock, bound.windowMilliseconds);
     this.#repeats = new SlidingWindowCounter(clock, bound.windowMilliseconds);
-    this.#parts = stableHash(`retry ${name}`) / HASH_RANGE;
+    this.#parts = stablePosition(`retry ${name}`);
   }
 
   /** Sets the part of the fleet's slack that this host earns from now on, from 0 to 1. */
--- a/packages/routing/tests/traffic-splitter.test.ts
+++ b/packages/routing/tests/traffic-splitter.test.ts
@@ -60,3 +60,27 @@
     expect(toB).toBe(300);
   });
 });
+
+// Guards against a host that repays what it sent by earlier weights, which nobody asked of it.
+it('begins anew with each set of weights', () => {
+  const splitter = new TrafficSplitter({ hostName: 'host-1' });
+  const random = new SeededRandom(7);
+  const shareOfB = (weights: Record<string, number>, requests: number): number => {
+    const route = makeSplit(weights);
+    const services = Array.from({ length: requests }, () =>
+      splitter.pick(route, `object-${Math.floor(random.next() * 20)}`),
+    );
+    return services.filter((service) => service === 'b').length / requests;
+  };
+  shareOfB({ a: 90, b: 10 }, 300);
+  expect(Math.abs(shareOfB({ a: 50, b: 50 }, 40) - 0.5)).toBeLessThan(0.1);
+});
+
+it('forgets routes that are gone', () => {
+  const splitter = new TrafficSplitter({ hostName: 'host-1' });
+  const route = makeSplit({ a: 50, b: 50 });
+  const first = Array.from({ length: 3 }, () => splitter.pick(route, 'one'));
+  splitter.retain([route]);
+  splitter.retain([]);
+  expect(Array.from({ length: 3 }, () => splitter.pick(route, 'one'))).toEqual(first);
+});
--- a/packages/utils/src/hash.ts
+++ b/packages/utils/src/hash.ts
@@ -6,6 +6,13 @@
   return murmurhash.v3(text);
 }
 
+const HASH_RANGE = 0x1_0000_0000;
+
+/** {@link stableHash} as a position from 0 (inclusive) to 1 (exclusive). */
+export function stablePosition(text: string): number {
+  return stableHash(text) / HASH_RANGE;
+}
+
 /**
  * Combines two 32-bit hashes into one. Faster than hashing a concatenated string when many members
  * are ranked for many keys.
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -4,7 +4,7 @@
 export type { Clock } from './clock.js';
 export { FirstOccurrences } from './first-occurrences.js';
 export { formatTable } from './format-table.js';
-export { combineHashes, rendezvousRank, sha256, stableHash } from './hash.js';
+export { combineHashes, rendezvousRank, sha256, stableHash, stablePosition } from './hash.js';
 export { createLogger, silentLogger } from './logger.js';
 export type { Logger, LogLevel } from './logger.js';
 export { MovingAverage } from './moving-average.js';
