--- a/packages/entry/src/request/configuration-knowledge.ts
+++ b/packages/entry/src/request/configuration-knowledge.ts
@@ -9,12 +9,14 @@
 
 export interface ConfigurationKnowledgeOptions {
   readonly clock: Clock;
-  readonly view: FleetView;
-  readonly state: Pick<RoutingState, 'active'>;
-  readonly viewExchange: Pick<
-    ViewExchange,
-    'calls' | 'failedCalls' | 'missing' | 'pendingMilliseconds'
-  >;
+  readonly member: {
+    readonly view: FleetView;
+    readonly state: Pick<RoutingState, 'active'>;
+    readonly viewExchange: Pick<
+      ViewExchange,
+      'calls' | 'failedCalls' | 'missing' | 'pendingMilliseconds'
+    >;
+  };
   readonly eventLoopDelay: Pick<EventLoopDelay, 'lastMilliseconds'>;
 }
 
@@ -33,7 +35,8 @@
 
   /** Describes it for a log line; undefined while no configuration is known. */
   describe(): Knowledge | undefined {
-    const { clock, view, state, viewExchange, eventLoopDelay } = this.#options;
+    const { clock, member, eventLoopDelay } = this.#options;
+    const { view, state, viewExchange } = member;
     const { active } = state;
     if (active === undefined) {
       return undefined;
--- a/packages/entry/tests/request/response-writer.test.ts
+++ b/packages/entry/tests/request/response-writer.test.ts
@@ -26,13 +26,15 @@
     state,
     knowledge: new ConfigurationKnowledge({
       clock,
-      view,
-      state,
-      viewExchange: {
-        calls: 5,
-        failedCalls: 2,
-        missing: { revision: 8, milliseconds: 350.2 },
-        pendingMilliseconds: 90.4,
+      member: {
+        view,
+        state,
+        viewExchange: {
+          calls: 5,
+          failedCalls: 2,
+          missing: { revision: 8, milliseconds: 350.2 },
+          pendingMilliseconds: 90.4,
+        },
       },
       eventLoopDelay: { lastMilliseconds: 155.3 },
     }),
