fix(entry): a request that is handed over keeps the version and the service that it was admitted with

One that was behind ran the request as only an older configuration allows (an old service, a dropped route, old time limits), though the host that the caller had asked was up to date; and on a split route the taker drew, and counted, a second time, so the request that one host had counted for a service ran on another.

Now the handover carries both. A host with an older version does not take the request (503 configuration-unconfirmed, not run, and the next host is asked); the splitter keeps to the service that the other host picked, without counting it, while the route has it with a weight. Hosts of older releases send neither field, and are served as before. Four tests fail without the change.

--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -213,6 +213,7 @@
         hosts: () => this.#member.hosts,
         utilization: () => this.#utilizationMeter.utilization,
         reachesNone: () => reachability.reachesNone,
+        version: () => state.active?.version,
       }),
       forwarder: this.#forwarder,
       isLeaving: () => this.#member.isLeaving,
@@ -251,8 +252,7 @@
   /** Metrics in the Prometheus text format. */
   metricsText(): string {
     const host = collectHostMetrics({
-      clock: this.#options.clock,
-      events: this.#options.events,
+      ...this.#options,
       member: this.#member,
       crashDetector: this.#crashDetector,
       signalRecorder: this.#signalRecorder,
--- a/packages/entry/src/handover/handover-admission.ts
+++ b/packages/entry/src/handover/handover-admission.ts
@@ -17,10 +17,12 @@
   readonly utilization: () => number;
   /** Whether this host reaches no target itself. */
   readonly reachesNone: () => boolean;
+  /** Version of the configuration of this host; undefined if it has none. */
+  readonly version: () => number | undefined;
 }
 
 /** Reason why a request of another host is not taken. */
-export type HandoverRejection = 'stranger' | 'busy' | 'unreachable';
+export type HandoverRejection = 'stranger' | 'busy' | 'unreachable' | 'behind';
 
 /** Admits requests that other entry hosts hand over, up to a part of this host's capacity. */
 export class HandoverAdmission {
@@ -33,13 +35,16 @@
 
   /** Admits a request; {@link end} must follow. */
   begin(handover: Handover): Result<void, HandoverRejection> {
-    const { capacity, utilization, reachesNone } = this.#options;
+    const { capacity, utilization, reachesNone, version: ownVersion } = this.#options;
     if (!this.#isFromFleet(handover)) {
       return Err('stranger');
     }
     if (reachesNone()) {
       return Err('unreachable');
     }
+    if ((ownVersion() ?? -Infinity) < (handover.version ?? -Infinity)) {
+      return Err('behind');
+    }
     if (this.#inFlight >= MAX_IN_FLIGHT_PER_CORE * capacity || utilization() >= MAX_UTILIZATION) {
       return Err('busy');
     }
--- a/packages/entry/src/handover/handover-controller.ts
+++ b/packages/entry/src/handover/handover-controller.ts
@@ -13,6 +13,8 @@
 export interface HandoverRequest {
   readonly exchange: RoutedExchange;
   readonly progress: RequestProgress;
+  /** Service that this host chose for it. */
+  readonly service: string;
   /** Called with each handover, so that it can be cancelled. */
   readonly onSend: (send: RequestHandover) => void;
   /** Acquires the repetition of a request that may have run. */
@@ -31,7 +33,7 @@
 
   /** Returns a target's response; if undefined, the progress of the request has the outcome. */
   async run(request: HandoverRequest): Promise<TargetResponse | undefined> {
-    const { exchange, progress, onSend } = request;
+    const { exchange, progress, service, onSend } = request;
     const tried = new Set<string>();
     while (tried.size < MAX_HOSTS) {
       const peer = this.#options.peers.select(exchange.route, tried);
@@ -39,7 +41,12 @@
         return undefined;
       }
       tried.add(peer.name);
-      const send = new RequestHandover(this.#options, exchange, peer, progress.attempts);
+      const send = new RequestHandover(this.#options, {
+        exchange,
+        service,
+        peer,
+        attempts: progress.attempts,
+      });
       onSend(send);
       const verdict = await send.verdict;
       this.counts.set(verdict.kind, (this.counts.get(verdict.kind) ?? 0) + 1);
--- a/packages/entry/src/handover/handover-headers.ts
+++ b/packages/entry/src/handover/handover-headers.ts
@@ -24,6 +24,10 @@
   attempts: z.coerce.number().int().nonnegative(),
   /** Id of the request, which the response names; absent if the sender is of an older release. */
   requestId: z.string().min(1).optional(),
+  /** Version of the configuration by which the sender admitted it; absent likewise. */
+  version: z.coerce.number().int().nonnegative().optional(),
+  /** Service that the sender chose for it; absent likewise. */
+  service: z.string().min(1).optional(),
 });
 
 export type Handover = z.infer<typeof handoverSchema>;
--- a/packages/entry/src/handover/handover-receiver.ts
+++ b/packages/entry/src/handover/handover-receiver.ts
@@ -18,6 +18,7 @@
 const REASONS: Readonly<Record<Exclude<HandoverRejection, 'stranger'>, RefusalReason>> = {
   busy: 'overload',
   unreachable: 'targets-unreachable',
+  behind: 'configuration-unconfirmed',
 };
 
 export interface HandoverReceiverOptions {
--- a/packages/entry/src/handover/request-handover.ts
+++ b/packages/entry/src/handover/request-handover.ts
@@ -38,6 +38,16 @@
   /** Cancelled by this host. */
   | { readonly kind: 'ended'; readonly wasSent: boolean };
 
+/** A request and the host that it is handed over to. */
+export interface HandoverSend {
+  readonly exchange: RoutedExchange;
+  /** Service that this host chose for it. */
+  readonly service: string;
+  readonly peer: EntryHostRecord;
+  /** Sends that may have reached targets already. */
+  readonly attempts: number;
+}
+
 /** Hands one request over to another entry host, once. */
 export class RequestHandover {
   readonly verdict: Promise<HandoverVerdict>;
@@ -47,14 +57,12 @@
   #isCancelled = false;
   #head: TracedHead | undefined;
 
-  /** @param attempts - sends that may have reached targets already */
   constructor(
     options: RequestHandoverOptions,
-    readonly exchange: RoutedExchange,
-    readonly peer: EntryHostRecord,
-    attempts: number,
+    readonly details: HandoverSend,
   ) {
     this.#options = options;
+    const { exchange, peer } = details;
     const { clock, client, peers } = options;
     this.sentAt = clock.now();
     peers.begin(peer);
@@ -62,7 +70,7 @@
       address: peer.controlAddress,
       method: exchange.request.method ?? 'GET',
       path: `${HANDOVER_PATH_PREFIX}${exchange.path}`,
-      headers: this.#headers(attempts),
+      headers: this.#headers(),
       body: exchange.body,
       usesOwnConnection: false,
       isStillAllowed: () => !this.#isCancelled,
@@ -78,17 +86,20 @@
   }
 
   /** The caller's headers, with its key: the host that sends to the target charges the account. */
-  #headers(attempts: number): Record<string, string | string[]> {
+  #headers(): Record<string, string | string[]> {
     const { ownName, ownIncarnation } = this.#options;
+    const { exchange, service, peer, attempts } = this.details;
     const handover = encodeHandover({
       from: ownName,
       fromIncarnation: ownIncarnation,
-      toIncarnation: this.peer.incarnation,
-      milliseconds: Math.max(1, Math.floor(this.exchange.deadlineAt - this.sentAt)),
+      toIncarnation: peer.incarnation,
+      milliseconds: Math.max(1, Math.floor(exchange.deadlineAt - this.sentAt)),
       attempts,
-      requestId: this.exchange.requestId,
+      requestId: exchange.requestId,
+      version: exchange.version,
+      service,
     });
-    return { ...forwardableHeaders(this.exchange.request.headers), [HANDOVER_HEADER]: handover };
+    return { ...forwardableHeaders(exchange.request.headers), [HANDOVER_HEADER]: handover };
   }
 
   /**
@@ -98,14 +109,14 @@
   #checkHead(status: number, headers: IncomingHttpHeaders): Error | undefined {
     const answered = headers[HANDOVER_REQUEST_HEADER]?.toString();
     this.#head = { status, metadata: { requestId: answered, notRunMark: undefined } };
-    return answered === undefined || answered === this.exchange.requestId
+    return answered === undefined || answered === this.details.exchange.requestId
       ? undefined
       : new Error(`the host answered request ${answered}`);
   }
 
   async #judge(): Promise<HandoverVerdict> {
     const outcome = await this.#send.outcome;
-    this.#options.peers.end(this.peer);
+    this.#options.peers.end(this.details.peer);
     const verdict = this.#verdictOf(outcome);
     this.#log(verdict);
     return verdict;
@@ -113,7 +124,7 @@
 
   #verdictOf(outcome: SendOutcome): HandoverVerdict {
     if (outcome.kind === 'answered') {
-      return judgeHandoverResponse(outcome.response, this.exchange.requestId);
+      return judgeHandoverResponse(outcome.response, this.details.exchange.requestId);
     }
     if (this.#isCancelled) {
       return { kind: 'ended', wasSent: outcome.kind === 'broken' };
@@ -126,14 +137,14 @@
 
   #log(verdict: HandoverVerdict): void {
     const { clock, events, reachability } = this.#options;
-    const { requestId, route, account, version } = this.exchange;
+    const { requestId, route, account, version } = this.details.exchange;
     events.write({
       event: 'handed-over',
       requestId,
       route: route.name,
       ...(account === undefined ? {} : { account: account.name }),
       version,
-      peer: this.peer.name,
+      peer: this.details.peer.name,
       ...describe(verdict),
       ...traceOf(this.#send.connectionUse, this.#head),
       milliseconds: Math.round(clock.now() - this.sentAt),
--- a/packages/entry/src/request/request-forwarder.ts
+++ b/packages/entry/src/request/request-forwarder.ts
@@ -79,17 +79,19 @@
 
   async #forward(exchange: RoutedExchange): Promise<void> {
     const { state, responses } = this.#options;
-    const service = state.service(this.#splitter.pick(exchange.route, affinityKeyOf(exchange)));
+    const { route, handover } = exchange;
+    const picked = this.#splitter.pick(route, affinityKeyOf(exchange), handover?.service);
+    const service = state.service(picked);
     if (service === undefined) {
       const detail = 'the service has no targets';
       this.#settle(exchange.account, 0);
       responses.refuse(exchange, { reason: 'no-target', detail, ran: 'no' });
       return;
     }
-    if (exchange.handover === undefined) {
+    if (handover === undefined) {
       service.retryBudget.recordRequest();
     }
-    const progress = new RequestProgress(exchange.route, exchange.handover?.attempts);
+    const progress = new RequestProgress(route, handover?.attempts);
     const forwarding: ForwardingState = {
       exchange,
       service,
@@ -282,7 +284,7 @@
   }
 
   async #handOver(forwarding: ForwardingState): Promise<void> {
-    const { exchange, progress, repeatPermit } = forwarding;
+    const { exchange, service, progress, repeatPermit } = forwarding;
     const { handovers, responses } = this.#options;
     // The host that sends to a target charges the account.
     this.#settleOnce(forwarding);
@@ -295,6 +297,7 @@
       ? await handovers.run({
           exchange,
           progress,
+          service: service.name,
           onSend: (send) => {
             forwarding.send = send;
           },
--- a/packages/entry/tests/handover/handover-admission.test.ts
+++ b/packages/entry/tests/handover/handover-admission.test.ts
@@ -10,13 +10,14 @@
   attempts: 0,
 };
 
-function makeAdmission({ utilization = 0, reachesNone = false } = {}) {
+function makeAdmission({ utilization = 0, reachesNone = false, version = 7 } = {}) {
   return new HandoverAdmission({
     ownIncarnation: 'own',
     capacity: 0.5,
     hosts: () => [makeHostRecord({ name: 'host-2', incarnation: 'theirs' })],
     utilization: () => utilization,
     reachesNone: () => reachesNone,
+    version: () => version,
   });
 }
 
@@ -31,6 +32,15 @@
     expect(admission.begin(HANDOVER).isOk()).toBe(true);
   });
 
+  // Guards against a request that runs as only an older configuration allows, by way of a host that is behind.
+  it('takes requests of hosts with the same configuration or an older one, and of older releases', () => {
+    const admission = makeAdmission();
+    expect(admission.begin({ ...HANDOVER, version: 8 }).unwrapErr()).toBe('behind');
+    for (const version of [7, 6, undefined]) {
+      expect(admission.begin({ ...HANDOVER, version }).isOk()).toBe(true);
+    }
+  });
+
   it('takes a bounded number at a time', () => {
     const admission = makeAdmission();
     let taken = 0;
--- a/packages/entry/tests/handover/handover-controller.test.ts
+++ b/packages/entry/tests/handover/handover-controller.test.ts
@@ -94,7 +94,13 @@
     ownIncarnation: 'first',
   });
   const run = (onSend: (send: RequestHandover) => void = () => undefined) =>
-    controller.run({ exchange, progress, onSend, mayRepeat: () => mayRepeat });
+    controller.run({
+      exchange,
+      progress,
+      service: 'verdict-api',
+      onSend,
+      mayRepeat: () => mayRepeat,
+    });
   return { run, sent, progress, events, controller };
 }
 
@@ -116,6 +122,8 @@
       milliseconds: 900,
       attempts: 0,
       requestId: 'request-1',
+      version: 1,
+      service: 'verdict-api',
     });
     expect(events).toEqual([
       expect.objectContaining({
--- a/packages/entry/tests/handover/handover-receiver.test.ts
+++ b/packages/entry/tests/handover/handover-receiver.test.ts
@@ -20,10 +20,12 @@
   milliseconds: 900,
   attempts: 0,
   requestId: 'request-1',
+  version: 7,
+  service: 'verdict-api',
 };
 
 /** Starts a host that knows the host of the handover, if so told; returns its address. */
-async function serve({ isKnown = true, reachesNone = false, utilization = 0 } = {}) {
+async function serve({ isKnown = true, reachesNone = false, utilization = 0, version = 7 } = {}) {
   const hosts = isKnown ? [makeHostRecord({ name: 'host-2', incarnation: 'second' })] : [];
   const taken: string[] = [];
   const receiver = new HandoverReceiver({
@@ -33,6 +35,7 @@
       hosts: () => hosts,
       utilization: () => utilization,
       reachesNone: () => reachesNone,
+      version: () => version,
     }),
     forwarder: {
       handle: (_request, response, path) => {
@@ -66,6 +69,7 @@
   ['a host that it does not know', { isKnown: false }, 403, 'targets-unreachable'],
   ['any host while it is busy', { utilization: 1 }, 503, 'overload'],
   ['any host while it reaches no target', { reachesNone: true }, 503, 'targets-unreachable'],
+  ['a host with a newer configuration', { version: 6 }, 503, 'configuration-unconfirmed'],
 ])('says that it has not taken a request of %s', async (_case, state, status, reason) => {
   const { address, taken } = await serve(state);
   const response = await handOver(address, encodeHandover(HANDOVER));
--- a/packages/routing/src/traffic-splitter.ts
+++ b/packages/routing/src/traffic-splitter.ts
@@ -40,10 +40,14 @@
     this.#options = options;
   }
 
-  pick(route: Route, key: string): string {
+  /** @param chosen - service that another host picked for the request, and counted */
+  pick(route: Route, key: string, chosen?: string): string {
     if (route.shares.length === 1) {
       return pickWeightedService(route, key);
     }
+    if (route.shares.some(({ service, weight }) => service === chosen && weight > 0)) {
+      return chosen ?? '';
+    }
     const { balance, keys, hostPlace } = this.#splitOf(route);
     const offset = hostPlace * spreadOf(keys.repeatProbability);
     keys.record(key);
--- a/packages/routing/tests/traffic-splitter.test.ts
+++ b/packages/routing/tests/traffic-splitter.test.ts
@@ -84,3 +84,16 @@
   splitter.retain([]);
   expect(Array.from({ length: 3 }, () => splitter.pick(route, 'one'))).toEqual(first);
 });
+
+// Guards against a request that another host counts for one service and this one sends to another.
+it('keeps to the service that another host picked, which counts it, while the route has it', () => {
+  const splitter = new TrafficSplitter({ hostName: 'host-1' });
+  const route = makeSplit({ a: 50, b: 50, c: 0 });
+  for (let request = 0; request < 20; request++) {
+    expect(splitter.pick(route, 'one', 'b')).toBe('b');
+  }
+  const untouched = new TrafficSplitter({ hostName: 'host-1' });
+  expect(splitter.pick(route, 'one')).toBe(untouched.pick(route, 'one'));
+  expect(['a', 'b']).toContain(splitter.pick(route, 'one', 'c'));
+  expect(['a', 'b']).toContain(splitter.pick(route, 'one', 'gone'));
+});
