fix(entry): a confirmation that may have waited to be read counts as older

Found by reading while looking for hosts that take themselves for up to date without being it; whether the users' host was one is not known. The age of a confirmation excluded the time that its datagram waited in the host's own socket. A process that wakes from a pause of 3 s, starts slowly or gets no processor time reads the oldest datagrams first (the later ones may have found the socket full), and took what they confirm for fresh: it then neither watched the store nor doubted its configuration for up to 1.5 s more.

Without delays nothing changes. store-confirmations fails without the change (8,800 for 5,800).

--- a/packages/entry/src/fleet-member.ts
+++ b/packages/entry/src/fleet-member.ts
@@ -25,6 +25,7 @@
 import { TargetReachability } from './reachability/target-reachability.js';
 import { PlacementController } from './routing/placement-controller.js';
 import { RetryShareController } from './routing/retry-share-controller.js';
+import { ReadDelay } from './read-delay.js';
 import { SuspectController } from './suspects/suspect-controller.js';
 import { RoutingState } from './routing/routing-state.js';
 import { WatcherSelection } from './watcher-selection.js';
@@ -73,6 +74,7 @@
   /** Delays until this host applied changes of the store. */
   readonly changeDelays = new ChangeDelays();
   readonly #options: FleetMemberOptions;
+  readonly #readDelay: ReadDelay;
   readonly #tasks: BackgroundTasks;
   readonly #storeHealth: StoreHealth;
   readonly #loads: PeerLoads;
@@ -92,6 +94,7 @@
     this.#options = options;
     const { settings, clock, events } = options;
     const view = new FleetView(settings.disabledMechanisms);
+    this.#readDelay = new ReadDelay(clock, SWEEP_MILLISECONDS);
     this.view = view;
     this.#recentHosts = new RecentHosts(clock);
     this.#hostNames = [settings.name];
@@ -189,6 +192,7 @@
       accounts: this.accounts,
       limits: this.limits,
       suspects: this.suspects,
+      readDelay: () => this.#readDelay.milliseconds,
       isLeaving: () => this.#isLeaving,
       reachesNone: () => this.reachability.reachesNone,
       asked: () => this.#placement.ownDemand,
@@ -332,15 +336,13 @@
 
   async #sweep(signal: AbortSignal): Promise<void> {
     const { clock, events, onSweep } = this.#options;
-    let previous = clock.now();
+    this.#readDelay.record();
     while (!signal.aborted) {
       await clock.sleep(SWEEP_MILLISECONDS, signal);
-      const now = clock.now();
-      const paused = now - previous - SWEEP_MILLISECONDS;
+      const paused = this.#readDelay.record();
       if (paused > PAUSE_THRESHOLD_MILLISECONDS) {
         events.write({ event: 'paused', milliseconds: Math.round(paused) });
       }
-      previous = now;
       onSweep(paused);
       this.peers.sweep();
       this.reachability.sweep();
--- a/packages/entry/src/peers/peer-exchange.ts
+++ b/packages/entry/src/peers/peer-exchange.ts
@@ -39,6 +39,8 @@
   readonly events: EventLog;
   readonly viewExchange: ViewExchange;
   readonly createTransport: CreateTransport;
+  /** Milliseconds that a datagram read now may have waited to be read. */
+  readonly readDelay: () => number;
 }
 
 /** State that exists once this host's addresses are known. */
@@ -73,7 +75,7 @@
   constructor(options: PeerExchangeOptions) {
     this.#options = options;
     this.counts = new DatagramCounts(options.clock, options.events);
-    this.#confirmations = new StoreConfirmations(options.clock);
+    this.#confirmations = new StoreConfirmations(options.clock, options.readDelay);
     this.#tasks = new BackgroundTasks(options.events.logger);
     const transport = options.createTransport((datagram) => {
       this.handleDatagram(datagram);
--- a/packages/entry/src/peers/store-confirmations.ts
+++ b/packages/entry/src/peers/store-confirmations.ts
@@ -34,14 +34,20 @@
  */
 export class StoreConfirmations {
   readonly #clock: Clock;
+  readonly #readDelay: () => number;
   /** Newest sequence number recorded, by host name. */
   readonly #recorded = new Map<string, { incarnation: string; sequence: number }>();
   #newest: StoredConfirmation | undefined;
   /** Confirmations that no view was confirmed by yet, in the order in which they arrived. */
   readonly #pending: StoredConfirmation[] = [];
 
-  constructor(clock: Clock) {
+  /**
+   * @param readDelay - milliseconds that a message read now may have waited in this host's socket, as
+   *   after a pause of the process
+   */
+  constructor(clock: Clock, readDelay: () => number = () => 0) {
     this.#clock = clock;
+    this.#readDelay = readDelay;
   }
 
   /** The newest confirmation with its current age; undefined before the first. */
@@ -61,7 +67,7 @@
       return undefined;
     }
     this.#recorded.set(name, { incarnation, sequence });
-    const confirmedAt = this.#clock.now() - ageMilliseconds;
+    const confirmedAt = this.#clock.now() - ageMilliseconds - this.#readDelay();
     const stored = { name, incarnation, sequence, lastChange, epoch, confirmedAt };
     if (confirmedAt > (this.#newest?.confirmedAt ?? -Infinity)) {
       this.#newest = stored;
--- a/packages/entry/tests/peers/store-confirmations.test.ts
+++ b/packages/entry/tests/peers/store-confirmations.test.ts
@@ -56,3 +56,15 @@
   confirmations.record(makeConfirmation({ sequence: 700 }));
   expect(confirmations.record(makeConfirmation({ incarnation: 'second', sequence: 1 }))).toBe(800);
 });
+
+// Guards against a host that wakes from a pause, reads what waited, and takes itself for up to date.
+test('a confirmation that may have waited to be read counts as older by that time', async () => {
+  const clock = new FakeClock();
+  await clock.advance(9_000);
+  let readDelay = 3_000;
+  const confirmations = new StoreConfirmations(clock, () => readDelay);
+  expect(confirmations.record(makeConfirmation())).toBe(5_800);
+  expect(confirmations.newest?.ageMilliseconds).toBe(3_200);
+  readDelay = 0;
+  expect(confirmations.record(makeConfirmation({ sequence: 8 }))).toBe(8_800);
+});
