--- a/packages/entry/src/metrics-text.ts
+++ b/packages/entry/src/metrics-text.ts
@@ -159,6 +159,11 @@
       ({ service, account, partPerSecond }) =>
         `ferrylock_account_part_per_second{service="${service}",account="${account}"} ${partPerSecond}`,
     ),
+    '# TYPE ferrylock_split_requests_total counter',
+    ...metrics.splits.rows.map(
+      ({ route, service, count }) =>
+        `ferrylock_split_requests_total{route="${route}",service="${service}"} ${count}`,
+    ),
     ...gauge('bodies_held_bytes', host.heldBodyBytes),
     ...counter('retries_total', metrics.repeats.total),
     '# TYPE ferrylock_repeats_total counter',
--- a/packages/entry/src/request/request-forwarder.ts
+++ b/packages/entry/src/request/request-forwarder.ts
@@ -1,6 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { ClientAccount, TargetState } from '@ferrylock/routing';
-import { TrafficSplitter } from '@ferrylock/routing';
 import { originElsewhere, originOf } from './response-origin.js';
 import type { RoutedExchange } from './caller-exchange.js';
 import { affinityKeyOf } from './caller-exchange.js';
@@ -20,6 +19,7 @@
 import { RepeatPermit } from './repeat-permit.js';
 import { RequestRouter } from './request-router.js';
 import { RequestProgress } from './request-progress.js';
+import { ServiceChoice } from './service-choice.js';
 import type { CancelCause } from './target-send.js';
 import { isUnconnected, TargetSend } from './target-send.js';
 import { withExpectedWait } from './with-expected-wait.js';
@@ -29,17 +29,14 @@
   readonly #options: RequestForwarderOptions;
   readonly #router: RequestRouter;
   readonly #transfers: TransferController;
-  readonly #splitter: TrafficSplitter;
+  readonly #services: ServiceChoice;
   readonly #deniedRepeats: DeniedRepeatLog;
   readonly #forwarded: ForwardedRequests;
 
   constructor(options: RequestForwarderOptions) {
     this.#options = options;
     this.#router = new RequestRouter(options);
-    options.state.onConfiguration(({ routes }) => {
-      this.#splitter.retain(routes);
-    });
-    this.#splitter = new TrafficSplitter({ hostName: options.ownName });
+    this.#services = new ServiceChoice(options);
     this.#forwarded = new ForwardedRequests(options);
     this.#transfers = new TransferController(options);
     this.#deniedRepeats = new DeniedRepeatLog(options.clock, options.events);
@@ -78,27 +75,25 @@
   }
 
   async #forward(exchange: RoutedExchange): Promise<void> {
-    const { state, responses } = this.#options;
-    const { route, handover } = exchange;
-    const picked = this.#splitter.pick(route, affinityKeyOf(exchange), handover?.service);
-    const service = state.service(picked);
+    const { metrics, responses } = this.#options;
+    const service = this.#services.choose(exchange);
     if (service === undefined) {
       const detail = 'the service has no targets';
       this.#settle(exchange.account, 0);
       responses.refuse(exchange, { reason: 'no-target', detail, ran: 'no' });
       return;
     }
-    if (handover === undefined) {
+    if (exchange.handover === undefined) {
       service.retryBudget.recordRequest();
     }
-    const progress = new RequestProgress(route, handover?.attempts);
+    const progress = new RequestProgress(exchange.route, exchange.handover?.attempts);
     const forwarding: ForwardingState = {
       exchange,
       service,
       progress,
       repeatPermit: new RepeatPermit({
         service,
-        metrics: this.#options.metrics.repeats,
+        metrics: metrics.repeats,
         denied: this.#deniedRepeats,
       }),
       send: undefined,
--- a/packages/entry/src/request/request-metrics.ts
+++ b/packages/entry/src/request/request-metrics.ts
@@ -1,5 +1,6 @@
 import { AccountMetrics } from './account-metrics.js';
 import { RepeatMetrics } from './repeat-metrics.js';
+import { SplitMetrics } from './split-metrics.js';
 import { TargetRefusals } from './target-refusals.js';
 import type { TransferEnd } from '../transfers/answer-transfer.js';
 import type { RequestKind } from '@ferrylock/routing';
@@ -31,6 +32,8 @@
   readonly classes = new Map<RequestClass, ClassMetrics>();
   readonly accounts = new AccountMetrics();
   readonly repeats = new RepeatMetrics();
+  /** Callers' own requests, without those that other hosts handed over. */
+  readonly splits = new SplitMetrics();
   /** What targets say of requests that they answer as not run. */
   readonly targetRefusals = new TargetRefusals();
   /** Counts of large answers that were passed on only in part, by how they ended. */
--- a/packages/entry/tests/metrics-text.test.ts
+++ b/packages/entry/tests/metrics-text.test.ts
@@ -70,6 +70,9 @@
     metrics.repeats.recordGranted('verdict-api', 'target-refused');
     metrics.repeats.recordGranted('verdict-api', 'server-error');
     metrics.repeats.recordDenied('verdict-api');
+    metrics.splits.record('verdicts', 'verdict-api');
+    metrics.splits.record('gone', 'verdict-api');
+    metrics.splits.retain([{ name: 'verdicts' }]);
     metrics.targetRefusals.record(503, { isNotRun: false });
     const lines = metricsText(metrics, HOST_METRICS).split('\n');
     expect(lines).toEqual(
@@ -113,6 +116,7 @@
         'ferrylock_target_limit_used{service="verdict-api",target="i-2"} 2',
         'ferrylock_retries_total 2',
         'ferrylock_repeats_total{service="verdict-api",cause="target-refused"} 1',
+        'ferrylock_split_requests_total{route="verdicts",service="verdict-api"} 1',
         'ferrylock_repeats_denied_total{service="verdict-api"} 1',
         'ferrylock_retry_budget_requests{service="verdict-api"} 300',
         'ferrylock_retry_budget_repeats{service="verdict-api"} 40',
