feat(cli): explain says at which step a change of the configuration was late

A refusal by the configuration has what its host knew; explain now says in a sentence whether a newer version had not been heard of, not fetched, not applied, or was applied after the request had come, and shows calls to peers that failed before. Lines of older releases are shown as before.

--- a/packages/cli/src/explain/explain-request.ts
+++ b/packages/cli/src/explain/explain-request.ts
@@ -1,3 +1,4 @@
+import { configurationStep } from './configuration-step.js';
 import type { LogLine } from './log-line.js';
 
 /** Events about the host itself that say what it believed when it decided. */
@@ -9,6 +10,7 @@
   'view',
   'store-lost',
   'store-regained',
+  'fetch-failed',
 ]);
 /** Fields that are shown at the start of a line, or that every line has. */
 const FRAME_FIELDS = new Set(['message', 'host', 'timestamp', 'level', 'requestId']);
@@ -24,7 +26,9 @@
   const story: string[] = [];
   for (const line of ordered) {
     if (line.requestId === requestId) {
+      const step = configurationStep(line);
       story.push(...beliefsOf(line, beliefs), show(line));
+      story.push(...(step === undefined ? [] : [`  configuration: ${step}`]));
     } else if (BELIEF_EVENTS.has(line.message)) {
       remember(line, line.message, beliefs);
     } else if (line.message === 'target' && typeof line.target === 'string') {
