--- a/packages/routing/src/pick-weighted-service.ts
+++ b/packages/routing/src/pick-weighted-service.ts
@@ -3,7 +3,7 @@
 
 /**
  * Picks the service for a request of a split route by weighted hashing. All entry hosts map a text
- * to the same service, and a change of weights moves as few texts as possible.
+ * to the same service by the same offset, and a change of weights moves as few texts as possible.
  *
  * @param text - hash input that determines the choice, such as the request id
  * @param offset - added to the position of the text, from 0 to 1
--- a/packages/routing/src/traffic-splitter.ts
+++ b/packages/routing/src/traffic-splitter.ts
@@ -45,8 +45,9 @@
     if (route.shares.length === 1) {
       return pickWeightedService(route, key);
     }
-    if (route.shares.some(({ service, weight }) => service === chosen && weight > 0)) {
-      return chosen ?? '';
+    const given = route.shares.find(({ service, weight }) => service === chosen && weight > 0);
+    if (given !== undefined) {
+      return given.service;
     }
     const { balance, keys, hostPlace } = this.#splitOf(route);
     const offset = hostPlace * spreadOf(keys.repeatProbability);
