--- a/review/stand-in-2/backend.mjs
+++ b/review/stand-in-2/backend.mjs
@@ -33,8 +33,9 @@
   #sequence = 1;
 
   /** @param answer - function of the request, its socket and the backend */
-  constructor(store, { service, zone, answer, slots = 6 }) {
+  constructor(store, { service, zone, answer, slots = 6, coldMilliseconds = 0 }) {
     this.id = `i-${randomBytes(4).toString('hex')}`;
+    this.coldUntil = Date.now() + coldMilliseconds;
     Object.assign(this, { store, service, zone, answer, slots, state: 'ready' });
   }
 
@@ -63,7 +64,11 @@
     this.store.put(`servers/${this.id}`, {
       address: this.address,
       information: { service: this.service, version: 'v1', zone: this.zone, slots: this.slots },
-      status: { state: this.state, sequence: this.#sequence++, cold_remaining: '0ms' },
+      status: {
+        state: this.state,
+        sequence: this.#sequence++,
+        cold_remaining: `${Math.max(0, this.coldUntil - Date.now())}ms`,
+      },
     });
   }
 
@@ -108,7 +113,7 @@
 }
 
 /** A configuration with one service for each kind of route. */
-export function configuration(version, routes, limits = {}) {
+export function configuration(version, routes, limits = {}, service = {}) {
   const services = [...new Set(routes.flatMap(({ service }) => service))];
   return {
     version: version.toString(16).padStart(8, '0'),
@@ -132,6 +137,7 @@
       tls: false,
       cold_start: '3s',
       cold_per_s: 9,
+      ...service,
     })),
     limits: {
       maximum_header_bytes: 16384,
--- a/review/stand-in-2/store.mjs
+++ b/review/stand-in-2/store.mjs
@@ -14,7 +14,10 @@
   #sockets = new Set();
   #revision = 1;
   #nextLease = 100;
-  /** Set to a function of the path to change how calls are answered; it returns true if it did. */
+  /**
+   * Set to a function to change how calls are answered: of the URL, the response, the body and a
+   * function that does the call. It returns true if it deals with the answer.
+   */
   intercept = undefined;
 
   async start(host) {
@@ -24,8 +27,9 @@
       request.on('end', () => {
         const url = new URL(request.url, 'http://store');
         const body = chunks.length === 0 ? {} : JSON.parse(Buffer.concat(chunks).toString());
-        if (this.intercept?.(url, response, request) !== true) {
-          this.#answer(request.method, url, body, response);
+        const apply = (to) => this.#answer(request.method, url, body, to);
+        if (this.intercept?.(url, response, { body, apply }) !== true) {
+          apply(response);
         }
       });
     });
