--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -1,126 +1,85 @@
-/**
- * Answers to the first registrations of three entry hosts are lost, and the writes are done late. Half a
- * minute after that, a backend is replaced by a cold one.
- */
-import { clearInterval, setTimeout } from 'node:timers';
-import { get } from 'node:http';
+/** Backends break answers without a length off by a reset. */
+import { Buffer } from 'node:buffer';
+import { setTimeout } from 'node:timers';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Backend, configuration } from '../stand-in-2/backend.mjs';
 import { ask } from '../stand-in-2/client.mjs';
 import { hasTrouble, runCase } from '../stand-in-2/run-case.mjs';
 
 const ZONES = ['aarhus-hal', 'roskilde-hal', 'odense-hal'];
-const LATE_MILLISECONDS = 4_000;
-const LOST_FOR_MILLISECONDS = 4_500;
-/** After the leases of the late writes, of 12 s, and what hosts remember of it. */
-const SETTLE_MILLISECONDS = 32_000;
-const COLD_PER_SECOND = 20;
-const COLD_OVERAGE = 1.5;
-const COLD_SLACK = 5;
-const COLD_MILLISECONDS = 5_000;
-const BOUND = COLD_PER_SECOND * COLD_OVERAGE + COLD_SLACK;
-
-/** A response of which nobody gets anything. */
-const NOBODY = { writeHead: () => undefined, end: () => undefined, on: () => undefined };
-
-/** Addresses that a host's directory names to the callers of its zone. */
-function resolveAt(host) {
-  const url = `http://${host.directory}/v1/resolve?name=jepu9.example&region=x&zone=${host.zone}`;
-  return new Promise((resolve) => {
-    get(url, (response) => {
-      let text = '';
-      response.on('data', (chunk) => (text += chunk));
-      response.on('end', () => resolve(JSON.parse(text).addresses));
-    });
-  });
-}
-
-/** Most arrivals in any second. */
-function mostInASecond(times) {
-  return times.reduce(
-    (most, from) => Math.max(most, times.filter((at) => at >= from && at < from + 1_000).length),
-    0,
-  );
-}
+const BODY = Buffer.alloc(20_000, 'verdict-');
+const SENT_BYTES = 5_000;
+/** Of the backends that are faulty, and the time: share and for_s of `garble`. */
+const FAULTY_SHARE = 0.5;
+const FAULTY_MILLISECONDS = 5_000;
+/** One answer of so many of a faulty backend: 0.05. */
+const BROKEN_EVERY = 20;
+const CLIENTS = 60;
+const WORK_MILLISECONDS = 20;
 
 await runCase(import.meta.url, async ({ store, backends, start, record }) => {
-  const startedAt = Date.now();
-  const writes = { all: 0, lost: 0 };
-  const lost = new Set();
-  store.intercept = ({ pathname }, _response, { body, apply }) => {
-    const isWrite = pathname === '/v1/kv-txn' || pathname === '/v1/kv-lease';
-    if (!isWrite || Date.now() - startedAt > LOST_FOR_MILLISECONDS) {
-      return false;
-    }
-    writes.all++;
-    const key = body.set_keys?.[0]?.private_key ?? '';
-    if (!hasTrouble || !key.startsWith('ferrylock/hosts/') || lost.has(key)) {
-      return false;
-    }
-    lost.add(key);
-    writes.lost++;
-    record(`the store gives no answer to the write of ${key}`);
-    setTimeout(() => {
-      record(`the write of ${key} is done`);
-      apply(NOBODY);
-    }, LATE_MILLISECONDS);
-    return true;
-  };
+  let isFaulty = false;
+  const broken = new Set();
   const answer = (request, socket, backend) => {
-    setTimeout(() => backend.reply(socket, request, 200, 'verdict'), 50);
+    setTimeout(() => {
+      if (!isFaulty || !backend.isFaulty) {
+        backend.reply(socket, request, 200, BODY);
+        return;
+      }
+      backend.answers = (backend.answers ?? 0) + 1;
+      const isBroken = hasTrouble && backend.answers % BROKEN_EVERY === 0;
+      const fields = backend.head(request, 200, { Connection: 'close' });
+      if (isBroken) {
+        broken.add(request.headers['x-attempt-identifier']);
+        socket.write(Buffer.concat([Buffer.from(fields), BODY.subarray(0, SENT_BYTES)]));
+        socket.resetAndDestroy();
+      } else {
+        backend.reply(socket, request, 200, BODY);
+      }
+    }, WORK_MILLISECONDS);
   };
-  const startBackend = async (coldMilliseconds) => {
-    const options = { service: 'verdict-api', zone: 'odense-hal', answer, coldMilliseconds };
-    const backend = new Backend(store, options);
+  for (let index = 0; index < 20; index++) {
+    const zone = ZONES[index % ZONES.length];
+    const backend = new Backend(store, { service: 'verdict-api', zone, answer });
+    backend.isFaulty = index < 20 * FAULTY_SHARE;
     await backend.start('127.0.0.1');
     backends.push(backend);
-    return backend;
-  };
-  const old = await startBackend(0);
-  const route = { path_prefix: '/verdicts/', service: 'verdict-api', timeout: '800ms' };
-  const changed = { cold_start: `${COLD_MILLISECONDS}ms`, cold_per_s: COLD_PER_SECOND };
-  store.put('op/config', configuration(7, [route], {}, changed));
-  const fleet = await start(ZONES);
-  await sleep(SETTLE_MILLISECONDS);
-  record(
-    `writes until ${LOST_FOR_MILLISECONDS} ms: ${writes.all}, without an answer ${writes.lost}`,
-  );
-  for (const host of fleet.hosts) {
-    const others = (await resolveAt(host)).filter((address) => address !== host.frontend);
-    record(`the directory at ${host.name} names ${others.length} other hosts`);
   }
+  store.put('op/config', configuration(7, [{ path_prefix: '/verdicts/', service: 'verdict-api' }]));
+  const fleet = await start(ZONES);
+  await sleep(6_000);
   let isOver = false;
-  const statuses = new Map();
-  const client = async (host, key) => {
-    while (!isOver) {
-      const headers = { 'X-Affinity-Key': String(key) };
-      const { status } = await ask(host.frontend, { path: `/verdicts/${key}`, headers });
-      statuses.set(status, (statuses.get(status) ?? 0) + 1);
-      await sleep(status === 200 ? 0 : 15);
+  const counts = { whole: 0, wrong: 0, other: 0 };
+  const client = async (index) => {
+    const { frontend } = fleet.hosts[index % ZONES.length];
+    for (let key = index; !isOver; key += CLIENTS) {
+      const headers = { 'X-Affinity-Key': String(key % 200) };
+      const answered = await ask(frontend, { path: `/verdicts/${key % 200}`, headers });
+      const { id, status, isComplete, body, framing, end } = answered;
+      if (status !== 200 || !isComplete) {
+        counts.other++;
+      } else if (body.equals(BODY)) {
+        counts.whole++;
+      } else {
+        counts.wrong++;
+        record(
+          `request ${id}: status 200, framed by ${framing}, ended by ${end}, complete to its ` +
+            `client with ${body.length} of ${BODY.length} bytes; its backend reset it: ` +
+            `${broken.has(id)}  <- wrong`,
+        );
+      }
     }
   };
-  const clients = fleet.hosts.flatMap((host) =>
-    [0, 1, 2, 3, 4, 5, 6, 7].map((key) => client(host, key)),
-  );
-  await sleep(3_000);
-  const cold = await startBackend(COLD_MILLISECONDS);
-  const coldAt = Date.now();
-  record(`backend ${cold.id} has started; it is cold for ${COLD_MILLISECONDS} ms`);
+  const clients = Array.from({ length: CLIENTS }, (_, index) => client(index));
+  await sleep(1_000);
+  isFaulty = true;
+  await sleep(FAULTY_MILLISECONDS);
+  isFaulty = false;
   await sleep(500);
-  old.state = 'draining';
-  old.write();
-  record(`backend ${old.id} is draining`);
-  await sleep(2_500);
-  clearInterval(old.beat);
-  store.remove(`servers/${old.id}`);
-  old.stop();
-  await sleep(COLD_MILLISECONDS - 3_000);
   isOver = true;
   await Promise.all(clients);
-  const times = cold.runs.map(({ at }) => at).filter((at) => at < coldAt + COLD_MILLISECONDS);
-  const most = mostInASecond(times);
-  record(`answers by status: ${[...statuses].map(([name, n]) => `${name}: ${n}`).join(', ')}`);
-  record(`the cold backend got ${times.length} requests, in one second up to ${most}`);
-  record(`the bound is ${COLD_PER_SECOND} x ${COLD_OVERAGE} + ${COLD_SLACK} = ${BOUND}`);
-  return most > BOUND;
+  record(`answers that backends broke off: ${broken.size}`);
+  record(`whole: ${counts.whole}, incomplete but complete to the client: ${counts.wrong}`);
+  record(`other answers: ${counts.other}`);
+  return counts.wrong > 0;
 });
