--- a/review/stand-in-2/fleet.mjs
+++ b/review/stand-in-2/fleet.mjs
@@ -15,6 +15,7 @@
   'aarhus-hal': 'jylland',
   'roskilde-hal': 'sjaelland',
   'odense-hal': 'fyn',
+  'svendborg-hal': 'fyn',
 };
 
 async function freePort(host) {
