fix(utils): an exception in background work ends neither the process nor the loop

The second half of its cause: a promise that nobody waits for was started by `void` in eight places; its rejection ends the process (ERR_SOCKET_BAD_PORT out of a check of reachability; by reading the others).

Change: BackgroundTasks runs everything that nobody waits for. `run` contains a failure of a single task; `start` begins a loop again after a second. Both log the stack, once a second at most, and count (`ferrylock_task_failures_total`). The linter refuses `void` before a promise in entry, control, daemon and the platform's folder. What a failed task held (a crash check, a reachability check, a write of a suspect) is given back. A datagram that cannot be sent does not keep the next recipients from theirs. A start or stop that fails ends the process with a line.

Why a loop goes on: each pass reads the view anew and nothing half made is kept. Exceptions in timers and sockets' events still end the process.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -22,6 +22,11 @@
       'max-lines': ['error', { max: 320, skipBlankLines: true, skipComments: true }],
     },
   },
+  {
+    // An exception in a promise that nobody waits for ends the process: BackgroundTasks runs these.
+    files: ['packages/{control,daemon,entry,platform}/src/**/*.ts', 'platform/src/**/*.ts'],
+    rules: { '@typescript-eslint/no-floating-promises': ['error', { ignoreVoid: false }] },
+  },
   {
     files: ['**/*.js', '**/*.mjs', 'vitest.config.ts'],
     ...tseslint.configs.disableTypeChecked,
--- a/packages/control/src/allotments/position-holder.ts
+++ b/packages/control/src/allotments/position-holder.ts
@@ -68,7 +68,7 @@
 
   constructor(options: PositionHolderOptions) {
     this.#options = options;
-    this.#tasks = new BackgroundTasks(options.logger);
+    this.#tasks = new BackgroundTasks(options);
     this.#records = new PositionStore({ ...options, self: () => options.membership.self });
     this.fence = new PositionFence(options.clock, () => this.#records.groupSize);
     this.#reclaimer = new PositionReclaimer({
@@ -206,7 +206,7 @@
     }
     const excess = this.positions.length - maxFairShare;
     for (const index of this.positions.slice(0, Math.max(0, excess))) {
-      this.#tasks.start('give up position', () => this.#release(index));
+      this.#tasks.run('give up position', () => this.#release(index));
     }
     if (this.positions.length < minFairShare || claimable.length > 0 || excess > 0) {
       return CLAIM_INTERVAL_MILLISECONDS;
--- a/packages/control/src/allotments/rate-shares.ts
+++ b/packages/control/src/allotments/rate-shares.ts
@@ -55,7 +55,7 @@
 
   constructor(options: RateSharesOptions) {
     this.#options = options;
-    this.#tasks = new BackgroundTasks(options.logger);
+    this.#tasks = new BackgroundTasks(options);
   }
 
   register(router: PeerRouter): void {
--- a/packages/control/src/allotments/slot-loans.ts
+++ b/packages/control/src/allotments/slot-loans.ts
@@ -78,7 +78,7 @@
 
   constructor(options: SlotLoansOptions) {
     this.#options = options;
-    this.#tasks = new BackgroundTasks(options.logger);
+    this.#tasks = new BackgroundTasks(options);
   }
 
   /** Adds or replaces the borrower of a service. */
@@ -123,7 +123,7 @@
       }
       const key = memberKey(peer);
       state.pendingLenders.add(key);
-      this.#tasks.start('borrow slots', async () => {
+      this.#tasks.run('borrow slots', async () => {
         await this.#borrowFrom(state, peer);
         state.pendingLenders.delete(key);
         this.want(account, service);
@@ -167,7 +167,7 @@
       return;
     }
     state.prolonging.add(loan.loanId);
-    this.#tasks.start('prolong slot loan', async () => {
+    this.#tasks.run('prolong slot loan', async () => {
       const durationMilliseconds = longestDeadlineMilliseconds + REUSE_MILLISECONDS;
       const requestedAt = clock.now();
       const response = await peers.call(loan.lenderAddress, 'slots.prolong', {
@@ -188,12 +188,14 @@
   #return(borrower: SlotBorrower, loan: BorrowedUnits): void {
     const { ledger, peers, membership } = this.#options;
     ledger.forgetBorrowed(loan.loanId);
-    void peers.call(loan.lenderAddress, 'slots.return', {
-      loanId: loan.loanId,
-      borrower: memberKey(membership.self),
-      account: borrower.account,
-      service: borrower.service,
-    });
+    this.#tasks.run('return slots', () =>
+      peers.call(loan.lenderAddress, 'slots.return', {
+        loanId: loan.loanId,
+        borrower: memberKey(membership.self),
+        account: borrower.account,
+        service: borrower.service,
+      }),
+    );
   }
 
   /** Picks a random peer without a pending request, from the own region if it has any. */
--- a/packages/control/src/configuration/configuration-sync.ts
+++ b/packages/control/src/configuration/configuration-sync.ts
@@ -64,7 +64,7 @@
 
   constructor(options: ConfigurationSyncOptions) {
     this.#options = options;
-    this.#tasks = new BackgroundTasks(options.logger);
+    this.#tasks = new BackgroundTasks(options);
     this.#startedAt = options.clock.now();
   }
 
@@ -120,7 +120,7 @@
   received(heartbeat: ReceivedHeartbeat): void {
     const { fields, from } = heartbeat;
     if (fields.configurationDigest !== this.#options.replica.digest) {
-      void this.#pull(from.controlAddress, memberKey(from));
+      this.#tasks.run('configuration pull', () => this.#pull(from.controlAddress, memberKey(from)));
       return;
     }
     this.#syncedPeers.add(memberKey(from));
@@ -134,7 +134,7 @@
   spread(document: ConfigurationDocument): void {
     const before = this.#options.replica.get(document.account);
     if (this.#options.replica.offer(document)) {
-      void this.#push(before, document);
+      this.#tasks.run('configuration push', () => this.#push(before, document));
     }
   }
 
@@ -284,7 +284,7 @@
     const { clock, random, store } = this.#options;
     const renewal = new AbortController();
     const until = clock.now() + jittered(random, WATCH_RENEWAL_MILLISECONDS);
-    this.#tasks.start('configuration watch renewal', async () => {
+    this.#tasks.run('configuration watch renewal', async () => {
       while (clock.now() < until && this.#shouldWatch() && this.#watching && !signal.aborted) {
         await clock.sleep(jittered(random, LIVENESS_CHECK_MILLISECONDS), signal);
         const requestedAt = clock.now();
--- a/packages/control/src/membership/membership.ts
+++ b/packages/control/src/membership/membership.ts
@@ -56,7 +56,7 @@
     this.#heartbeatMilliseconds = options.heartbeatMilliseconds ?? DEFAULT_HEARTBEAT_MILLISECONDS;
     this.members = new MemberTable(options.identity, options.clock);
     this.domains = new DomainTable(options.identity.failureDomain, options.clock);
-    this.#tasks = new BackgroundTasks(options.logger);
+    this.#tasks = new BackgroundTasks(options);
     this.#refreshSummary();
   }
 
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -42,9 +42,13 @@
       return;
     }
     stopping = true;
-    void daemon.stop(hurry.signal).then(({ requestsCut }) => {
-      process.exit(requestsCut === 0 ? 0 : EXIT_CUT);
-    });
+    daemon.stop(hurry.signal).then(
+      ({ requestsCut }) => process.exit(requestsCut === 0 ? 0 : EXIT_CUT),
+      (error: unknown) => {
+        console.error(`ferrylockd: the stop failed: ${String(error)}`);
+        process.exit(EXIT_CUT);
+      },
+    );
   };
   process.on('SIGTERM', onSignal);
   process.on('SIGINT', onSignal);
--- a/packages/daemon/src/services/placement-seeder.ts
+++ b/packages/daemon/src/services/placement-seeder.ts
@@ -26,7 +26,7 @@
 
   constructor(options: PlacementSeederOptions) {
     this.#options = options;
-    this.#tasks = new BackgroundTasks(options.logger);
+    this.#tasks = new BackgroundTasks(options);
   }
 
   register(router: PeerRouter): void {
--- a/packages/daemon/src/services/target-prober.ts
+++ b/packages/daemon/src/services/target-prober.ts
@@ -34,7 +34,7 @@
 
   constructor(options: TargetProberOptions) {
     this.#options = options;
-    this.#tasks = new BackgroundTasks(options.logger);
+    this.#tasks = new BackgroundTasks(options);
   }
 
   start(): void {
--- a/packages/daemon/src/suspects/suspect-watch.ts
+++ b/packages/daemon/src/suspects/suspect-watch.ts
@@ -4,7 +4,7 @@
 import { RESPONSES_TO_CLEAR, SuspectTable } from '@ferrylock/routing';
 import type { Target, Verdict } from '@ferrylock/steering';
 import type { Clock, Logger, Random } from '@ferrylock/utils';
-import { rendezvousRank, shuffled } from '@ferrylock/utils';
+import { BackgroundTasks, rendezvousRank, shuffled } from '@ferrylock/utils';
 import { isLost } from '../request/verdict-rules.js';
 
 /** From a lost answer to the look whether its target has ended. */
@@ -34,11 +34,13 @@
  */
 export class SuspectWatch implements HeartbeatParticipant {
   readonly #options: SuspectWatchOptions;
+  readonly #tasks: BackgroundTasks;
   readonly #table: SuspectTable;
   readonly #triedAt = new Map<string, number>();
 
   constructor(options: SuspectWatchOptions) {
     this.#options = options;
+    this.#tasks = new BackgroundTasks(options);
     this.#table = new SuspectTable(options.clock);
   }
 
@@ -75,7 +77,7 @@
     } else if (request !== undefined && isLost(verdict) && !leaving && !drained) {
       const fingerprint = requestFingerprint(request);
       this.#options.clock.after(CHECK_AFTER_MILLISECONDS, () => {
-        void this.#check(fingerprint, address);
+        this.#tasks.run('suspect check', () => this.#check(fingerprint, address));
       });
     }
   }
--- a/packages/entry/src/collect-host-metrics.ts
+++ b/packages/entry/src/collect-host-metrics.ts
@@ -77,6 +77,7 @@
     refusedOverPart: fairAdmission.refused,
     logLinesDropped: events.dropped,
     unreadableRecords: events.unreadable,
+    taskFailures: events.taskFailures,
     targetsEnded: crashDetector.crashes,
     strayResponses: strayRecorder.counts,
     endlessAnswers: endlessAnswers.counts,
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -1,10 +1,11 @@
 import { randomUUID } from 'node:crypto';
-import { BackgroundTasks } from '@ferrylock/utils';
+import type { BackgroundTasks } from '@ferrylock/utils';
 import type { Clock, Random } from '@ferrylock/utils';
 import { UtilizationMeter } from './utilization-meter.js';
 import { Directory } from './directory.js';
 import type { DirectoryAnswer } from './directory.js';
 import type { EntryHostSettings } from './entry-host-settings.js';
+import { createTasks } from './create-tasks.js';
 import type { EventLog } from './event-log.js';
 import type { EntryHostRecord } from './fleet/fleet-record.js';
 import type { FleetStore } from './fleet/fleet-store.js';
@@ -40,10 +41,10 @@
 import { checkConnection } from './reachability/check-connection.js';
 import { TargetCrashDetector } from './suspects/target-crash-detector.js';
 import { ShutdownWindow } from './shutdown-window.js';
+import { SummaryLog } from './summary-log.js';
 import { ControlServer } from './servers/control-server.js';
 import { TrafficServer } from './servers/traffic-server.js';
 
-const SUMMARY_MILLISECONDS = 5_000;
 export interface EntryHostOptions {
   readonly settings: EntryHostSettings;
   readonly clock: Clock;
@@ -86,7 +87,7 @@
     this.#options = options;
     const { settings, clock, events, dial } = options;
     const checkTarget: CheckConnection = (address) => checkConnection(dial?.(address) ?? address);
-    this.#tasks = new BackgroundTasks(events.logger);
+    this.#tasks = createTasks(options);
     const eventLoopDelay = new EventLoopDelay(clock);
     this.#member = new FleetMember({
       ...options,
@@ -278,9 +279,10 @@
     const controlAddress = await this.#controlServer.listen(settings.controlAddress);
     const trafficAddress = await this.#trafficServer.listen(settings.trafficAddress);
     const { name, failureDomain, region, capacity } = settings;
+    const { incarnation } = this;
     this.#record = {
       name,
-      incarnation: this.incarnation,
+      incarnation,
       failureDomain,
       region,
       trafficAddress,
@@ -289,9 +291,14 @@
       capacity,
     };
     this.#member.start(this.#record);
-    this.#tasks.start('summary', (signal) => this.#logSummaries(signal));
+    const summary = new SummaryLog({
+      ...this.#options,
+      member: this.#member,
+      metrics: this.metrics,
+    });
+    this.#tasks.start('summary', (signal) => summary.run(signal));
     const startMilliseconds = Math.round(process.uptime() * 1_000);
-    events.write({ event: 'started', incarnation: this.incarnation, startMilliseconds });
+    events.write({ event: 'started', incarnation, startMilliseconds });
   }
 
   /**
@@ -320,29 +327,4 @@
     await Promise.all([this.#tasks.stop(), this.#member.close()]);
     await Promise.all([this.#client.close(), this.#peerClient.close()]);
   }
-
-  async #logSummaries(signal: AbortSignal): Promise<void> {
-    const { clock, events } = this.#options;
-    const { datagrams } = this.#member;
-    let writtenAt = clock.now();
-    let sentBytes = 0;
-    while (!signal.aborted) {
-      await clock.sleep(1_000, signal);
-      events.refill();
-      if (clock.now() - writtenAt >= SUMMARY_MILLISECONDS) {
-        writtenAt = clock.now();
-        const { answered, inFlight } = this.metrics;
-        this.state.logPlacement();
-        events.write({
-          event: 'summary',
-          answered,
-          dropped: events.dropped,
-          inFlight,
-          datagramBytes: datagrams.sentBytes - sentBytes,
-          largestDatagramBytes: datagrams.largestBytes,
-        });
-        sentBytes = datagrams.sentBytes;
-      }
-    }
-  }
 }
--- a/packages/entry/src/event-log.ts
+++ b/packages/entry/src/event-log.ts
@@ -52,6 +52,8 @@
   dropped = 0;
   /** Number of `bad-record` events. */
   unreadable = 0;
+  /** Failures of background tasks, by name. */
+  readonly taskFailures = new Map<string, number>();
   #sentRequestEventsLeft = MAX_REQUEST_EVENTS_PER_SECOND;
   #otherRequestEventsLeft = MAX_REQUEST_EVENTS_PER_SECOND;
 
@@ -75,6 +77,10 @@
     this.logger.info(name, fields);
   }
 
+  recordTaskFailure(task: string): void {
+    this.taskFailures.set(task, (this.taskFailures.get(task) ?? 0) + 1);
+  }
+
   /** Refills the rate limit; called once a second. */
   refill(): void {
     this.#sentRequestEventsLeft = MAX_REQUEST_EVENTS_PER_SECOND;
--- a/packages/entry/src/fleet-member.ts
+++ b/packages/entry/src/fleet-member.ts
@@ -1,7 +1,8 @@
-import { BackgroundTasks, rendezvousRank } from '@ferrylock/utils';
-import type { Clock, Random } from '@ferrylock/utils';
+import { rendezvousRank } from '@ferrylock/utils';
+import type { Clock, Random, BackgroundTasks } from '@ferrylock/utils';
 import { AccountLimitController } from './accounts/account-limit-controller.js';
 import type { EntryHostSettings } from './entry-host-settings.js';
+import { createTasks } from './create-tasks.js';
 import type { EventLog } from './event-log.js';
 import type { EntryHostRecord } from './fleet/fleet-record.js';
 import type { FleetStore } from './fleet/fleet-store.js';
@@ -98,7 +99,7 @@
     this.view = view;
     this.#recentHosts = new RecentHosts(clock);
     this.#hostNames = [settings.name];
-    this.#tasks = new BackgroundTasks(events.logger);
+    this.#tasks = createTasks(options);
     this.#storeHealth = new StoreHealth(clock, events);
     this.peers = new PeerTable(clock, events, (name) => this.#registeredIncarnation(name));
     this.limits = new TargetLimitController({
--- a/packages/entry/src/fleet/host-registration.ts
+++ b/packages/entry/src/fleet/host-registration.ts
@@ -1,5 +1,6 @@
-import { BackgroundTasks, jittered } from '@ferrylock/utils';
-import type { Clock, Random } from '@ferrylock/utils';
+import { jittered } from '@ferrylock/utils';
+import type { BackgroundTasks, Clock, Random } from '@ferrylock/utils';
+import { createTasks } from '../create-tasks.js';
 import type { EventLog } from '../event-log.js';
 import type { EntryHostRecord } from './fleet-record.js';
 import type { FleetStore, HostLease } from './fleet-store.js';
@@ -40,7 +41,7 @@
 
   constructor(options: HostRegistrationOptions) {
     this.#options = options;
-    this.#tasks = new BackgroundTasks(options.events.logger);
+    this.#tasks = createTasks(options);
   }
 
   start(): void {
--- a/packages/entry/src/fleet/store-watch.ts
+++ b/packages/entry/src/fleet/store-watch.ts
@@ -1,6 +1,7 @@
 import type { DisabledMechanisms } from '@ferrylock/routing';
-import { BackgroundTasks, jittered } from '@ferrylock/utils';
-import type { Clock, Random } from '@ferrylock/utils';
+import { jittered } from '@ferrylock/utils';
+import type { BackgroundTasks, Clock, Random } from '@ferrylock/utils';
+import { createTasks } from '../create-tasks.js';
 import type { EventLog } from '../event-log.js';
 import type { FleetChange } from './fleet-record.js';
 import type { FleetStore, FleetStoreFailure } from './fleet-store.js';
@@ -72,7 +73,7 @@
 
   constructor(options: StoreWatchOptions) {
     this.#options = options;
-    this.#tasks = new BackgroundTasks(options.events.logger);
+    this.#tasks = createTasks(options);
     this.progress = new StoreProgress(options.events);
   }
 
--- a/packages/entry/src/metrics-text.ts
+++ b/packages/entry/src/metrics-text.ts
@@ -89,6 +89,8 @@
   readonly logLinesDropped: number;
   /** Number of values in the store that could not be decoded. */
   readonly unreadableRecords: number;
+  /** Failures of background tasks, by name. */
+  readonly taskFailures: ReadonlyMap<string, number>;
   /** Number of targets that crashed while requests of this host were in flight. */
   readonly targetsEnded: number;
   /** Responses that were not taken as answers to the requests that were sent. */
@@ -180,6 +182,10 @@
     ]),
     ...counter('log_lines_dropped_total', host.logLinesDropped),
     ...counter('unreadable_records_total', host.unreadableRecords),
+    '# TYPE ferrylock_task_failures_total counter',
+    ...[...host.taskFailures].map(
+      ([task, count]) => `ferrylock_task_failures_total{task="${task}"} ${count}`,
+    ),
     ...counter('targets_ended_total', host.targetsEnded),
     ...gauge('suspect_requests', host.suspectRequests),
     '# TYPE ferrylock_target_refusals_total counter',
--- a/packages/entry/src/peers/peer-exchange.ts
+++ b/packages/entry/src/peers/peer-exchange.ts
@@ -1,4 +1,6 @@
-import { BackgroundTasks, describeParseError } from '@ferrylock/utils';
+import type { BackgroundTasks } from '@ferrylock/utils';
+import { describeParseError } from '@ferrylock/utils';
+import { createTasks } from '../create-tasks.js';
 import type { EventLog } from '../event-log.js';
 import type { EntryHostRecord } from '../fleet/fleet-record.js';
 import { isAfter, positionOf } from '../fleet/store-position.js';
@@ -76,7 +78,7 @@
     this.#options = options;
     this.counts = new DatagramCounts(options.clock, options.events);
     this.#confirmations = new StoreConfirmations(options.clock, options.readDelay);
-    this.#tasks = new BackgroundTasks(options.events.logger);
+    this.#tasks = createTasks(options);
     const transport = options.createTransport((datagram) => {
       this.handleDatagram(datagram);
     });
--- a/packages/entry/src/peers/udp-transport.ts
+++ b/packages/entry/src/peers/udp-transport.ts
@@ -31,11 +31,16 @@
 
   send(address: string, datagram: Buffer, onFailure: (reason: string) => void): void {
     const { host, port } = splitAddress(address);
-    this.#socket.send(datagram, port, host, (error) => {
-      if (error !== null) {
-        onFailure(String(error));
-      }
-    });
+    try {
+      this.#socket.send(datagram, port, host, (error) => {
+        if (error !== null) {
+          onFailure(String(error));
+        }
+      });
+    } catch (error) {
+      // One recipient that cannot be sent to must not keep the others from being sent to.
+      onFailure(String(error));
+    }
   }
 
   close(): void {
--- a/packages/entry/src/peers/view-exchange.ts
+++ b/packages/entry/src/peers/view-exchange.ts
@@ -1,5 +1,6 @@
 import { Throttle } from '@ferrylock/utils';
-import type { Clock } from '@ferrylock/utils';
+import type { BackgroundTasks, Clock } from '@ferrylock/utils';
+import { createTasks } from '../create-tasks.js';
 import type { EventLog } from '../event-log.js';
 import type { FleetView } from '../fleet/fleet-view.js';
 import type { StorePosition } from '../fleet/store-position.js';
@@ -37,6 +38,7 @@
   failedCalls = 0;
   readonly #options: ViewExchangeOptions;
   readonly #throttle: Throttle;
+  readonly #tasks: BackgroundTasks;
   /** Start of the call to each peer that has not answered yet, by address. */
   readonly #pendingFetches = new Map<string, number>();
   /** Newest change that a peer reported, and when this host began to lack one. */
@@ -45,6 +47,7 @@
 
   constructor(options: ViewExchangeOptions) {
     this.#options = options;
+    this.#tasks = createTasks(options);
     this.#throttle = new Throttle(options.clock, LOG_INTERVAL_MILLISECONDS);
   }
 
@@ -150,9 +153,11 @@
     }
     this.#fetchedAt = now;
     pending.set(address, now);
-    void this.fetchFrom(address).finally(() => {
-      pending.delete(address);
-    });
+    this.#tasks.run('fetch changes', () =>
+      this.fetchFrom(address).finally(() => {
+        pending.delete(address);
+      }),
+    );
     return true;
   }
 
--- a/packages/entry/src/reachability/domain-reachability.ts
+++ b/packages/entry/src/reachability/domain-reachability.ts
@@ -95,6 +95,11 @@
     this.checkedAt = now;
   }
 
+  /** Ends a check that could not be carried out, so that another one may begin. */
+  abandonCheck(): void {
+    this.#isChecking = false;
+  }
+
   endCheck({ accepted, attempted }: CheckOutcome, now: number): ReachabilityChange {
     this.#isChecking = false;
     if (this.unreachableSince !== undefined) {
--- a/packages/entry/src/reachability/target-reachability.ts
+++ b/packages/entry/src/reachability/target-reachability.ts
@@ -1,6 +1,7 @@
 import type { ServiceTargets, TargetState } from '@ferrylock/routing';
 import { shuffled } from '@ferrylock/utils';
-import type { Clock, Random } from '@ferrylock/utils';
+import type { BackgroundTasks, Clock, Random } from '@ferrylock/utils';
+import { createTasks } from '../create-tasks.js';
 import type { EventLog } from '../event-log.js';
 import type { CheckConnection, ConnectionCheck } from './check-connection.js';
 import { COMMON_SILENCE_MILLISECONDS, DomainReachability } from './domain-reachability.js';
@@ -47,6 +48,7 @@
  */
 export class TargetReachability {
   readonly #options: TargetReachabilityOptions;
+  readonly #tasks: BackgroundTasks;
   readonly #domains = new Map<string, DomainReachability>();
   /** Time of the last answer or accepted connection. */
   #lastHeardAt = -Infinity;
@@ -55,6 +57,7 @@
 
   constructor(options: TargetReachabilityOptions) {
     this.#options = options;
+    this.#tasks = createTasks(options);
   }
 
   /** Whether this host reaches no target of any failure domain. */
@@ -168,7 +171,7 @@
     const due = [...this.#domains].filter(([, domain]) => domain.isCheckDue(now, isSilent));
     due.sort(([, a], [, b]) => (a.checkedAt === b.checkedAt ? 0 : a.checkedAt - b.checkedAt));
     for (const [name, domain] of due.slice(0, MAX_CHECKS_PER_SWEEP)) {
-      void this.#check(name, domain);
+      this.#tasks.run('reachability check', () => this.#check(name, domain));
     }
     this.#updateReachesNone(withTargets ?? new Set(), now);
   }
@@ -200,7 +203,10 @@
         ? selectWitnesses(targets, random)
         : selectRandomWitnesses(targets, random);
     domain.beginCheck(clock.now());
-    const checks = await this.#connectTo(witnesses);
+    const checks = await this.#connectTo(witnesses).catch((error: unknown) => {
+      domain.abandonCheck();
+      throw error;
+    });
     const accepted = checks.filter(({ connection }) => connection === 'taken').length;
     const silentMilliseconds = clock.now() - domain.lastHeardAt;
     const since = domain.unreachableSince;
--- a/packages/entry/src/suspects/suspect-record-store.ts
+++ b/packages/entry/src/suspects/suspect-record-store.ts
@@ -1,6 +1,7 @@
 import { RESPONSES_TO_CLEAR } from '@ferrylock/routing';
 import type { SuspectTable } from '@ferrylock/routing';
-import type { Clock, Random } from '@ferrylock/utils';
+import type { BackgroundTasks, Clock, Random } from '@ferrylock/utils';
+import { createTasks } from '../create-tasks.js';
 import type { EventLog } from '../event-log.js';
 import type { FleetChange } from '../fleet/fleet-record.js';
 import type { FleetStore } from '../fleet/fleet-store.js';
@@ -64,6 +65,7 @@
  */
 export class SuspectRecordStore {
   readonly #options: SuspectRecordStoreOptions;
+  readonly #tasks: BackgroundTasks;
   readonly #observed = new Map<string, ObservedRecord>();
   readonly #fingerprintOfKey = new Map<string, string>();
   /** Monotonic times at which this host writes a record unless another host does so before. */
@@ -74,6 +76,7 @@
 
   constructor(options: SuspectRecordStoreOptions) {
     this.#options = options;
+    this.#tasks = createTasks(options);
     options.view.onChanges((changes) => {
       for (const change of changes) {
         this.#applyChange(change);
@@ -211,10 +214,8 @@
       };
       const previous = observed ?? unknown;
       const isNewSuspect = previous.state === 'cleared' || previous.targets.length === 0;
-      void this.#write(
-        isNewSuspect ? { ...previous, targets } : previous,
-        isTried ? 'tried' : state,
-      );
+      const from = isNewSuspect ? { ...previous, targets } : previous;
+      this.#tasks.run('suspect record', () => this.#write(from, isTried ? 'tried' : state));
     }
   }
 
@@ -229,8 +230,9 @@
     const suspect = { fingerprint, targets, state };
     const revision = view.storedRevision(key);
     const epoch = reportedEpochOf(view.epoch);
-    const written = await store.writeSuspect(suspect, { revision, epoch, leaseMilliseconds });
-    this.#writing.delete(fingerprint);
+    const written = await store
+      .writeSuspect(suspect, { revision, epoch, leaseMilliseconds })
+      .finally(() => this.#writing.delete(fingerprint));
     events.write({
       event: 'suspect-record',
       fingerprint,
--- a/packages/entry/src/suspects/target-crash-detector.ts
+++ b/packages/entry/src/suspects/target-crash-detector.ts
@@ -1,5 +1,6 @@
 import type { ServiceTargets, TargetState } from '@ferrylock/routing';
-import type { Clock } from '@ferrylock/utils';
+import type { BackgroundTasks, Clock } from '@ferrylock/utils';
+import { createTasks } from '../create-tasks.js';
 import type { EventLog } from '../event-log.js';
 import type { RoutedExchange } from '../request/caller-exchange.js';
 import type { CheckConnection, ConnectionCheck } from '../reachability/check-connection.js';
@@ -61,12 +62,14 @@
   /** Number of crashes detected. */
   crashes = 0;
   readonly #options: TargetCrashDetectorOptions;
+  readonly #tasks: BackgroundTasks;
   readonly #losses = new Map<string, Losses>();
   /** Detection times by incarnation, oldest first. */
   readonly #crashedAt = new Map<string, number>();
 
   constructor(options: TargetCrashDetectorOptions) {
     this.#options = options;
+    this.#tasks = createTasks(options);
   }
 
   /**
@@ -98,7 +101,7 @@
       const losses = { service, state, requests: [request] };
       this.#losses.set(state.incarnationId, losses);
       this.#options.clock.after(CHECK_DELAY_MILLISECONDS, () => {
-        void this.#check(losses);
+        this.#tasks.run('crash check', () => this.#check(losses));
       });
     }
   }
@@ -106,9 +109,14 @@
   async #check(losses: Losses): Promise<void> {
     const { service, state } = losses;
     const { checkConnection, isPathWhole } = this.#options;
-    const check = await checkConnection(state.record.address);
-    const isPathBroken = check === 'refused' && !(await isPathWhole(state));
-    this.#losses.delete(state.incarnationId);
+    let check: ConnectionCheck = 'unknown';
+    let isPathBroken = false;
+    try {
+      check = await checkConnection(state.record.address);
+      isPathBroken = check === 'refused' && !(await isPathWhole(state));
+    } finally {
+      this.#losses.delete(state.incarnationId);
+    }
     if (check === 'refused' && !isPathBroken && isServing(service, state)) {
       this.crashes++;
       this.#remember(state.incarnationId);
--- a/packages/entry/tests/peers/udp-transport.test.ts
+++ b/packages/entry/tests/peers/udp-transport.test.ts
@@ -29,3 +29,11 @@
   sender.send(address, Buffer.from('next'), deliver);
   expect(await received).toBe('next');
 });
+
+// Guards against one recipient that cannot be sent to and keeps the others from being sent to.
+it('reports a datagram to an impossible port instead of throwing', async () => {
+  const failure = await new Promise<string>((resolve) => {
+    open(() => undefined).send('127.0.0.1:70000', Buffer.from('text'), resolve);
+  });
+  expect(failure).toContain('ERR_SOCKET_BAD_PORT');
+});
--- a/packages/utils/src/index.ts
+++ b/packages/utils/src/index.ts
@@ -1,4 +1,5 @@
 export { BackgroundTasks } from './background-tasks.js';
+export type { BackgroundTask, BackgroundTasksOptions } from './background-tasks.js';
 export { Cancellation } from './cancellation.js';
 export { SystemClock } from './clock.js';
 export type { Clock } from './clock.js';
