fix(routing): a record whose address cannot be connected to is unreadable

Cause: records asked for an address that is any text; a number was made of it where it was used, and `net.connect` and `dgram.send` throw for an impossible port. Records of hosts and the addresses in peers' messages were the same; the users' variants (ports above 65535, negative, no number; report addresses of hosts) have this one cause.

Regions are looked up in a map: a zone named `constructor` found a function.

--- a/packages/entry/src/peers/peer-messages.ts
+++ b/packages/entry/src/peers/peer-messages.ts
@@ -1,3 +1,4 @@
+import { networkAddressSchema } from '@ferrylock/routing';
 import { z } from 'zod';
 import { fleetChangeSchema } from '../fleet/fleet-record.js';
 import { accountUsageSchema } from './account-rows.js';
@@ -46,7 +47,7 @@
 /** Fields of every message between hosts, on the store and on targets. */
 const commonFields = {
   /** Address for delta calls to the sender, whose record may not have arrived yet. */
-  controlAddress: z.string(),
+  controlAddress: networkAddressSchema,
   /** Revision of the newest store change that the sender has. */
   lastChange: z.number().int(),
   /** Epoch of `lastChange`; absent means 0. */
--- a/packages/entry/src/routing/routing-state.ts
+++ b/packages/entry/src/routing/routing-state.ts
@@ -316,11 +316,11 @@
     if (known !== undefined) {
       return known;
     }
-    const { regions } = this.#options;
+    const regions = new Map(Object.entries(this.#options.regions));
     const created = new ServiceTargets(name, {
       ...this.#options,
       overflows: this.#overflows,
-      regionOf: (failureDomain) => regions[failureDomain] ?? failureDomain,
+      regionOf: (failureDomain) => regions.get(failureDomain) ?? failureDomain,
       isEvacuated: (failureDomain) => this.#isEvacuated(failureDomain),
     });
     this.#services.set(name, created);
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -76,6 +76,7 @@
 export { TargetSelector } from './target-selector.js';
 export type { TargetSelectorOptions, SelectionCriteria } from './target-selector.js';
 export { ProcessingTimes } from './processing-times.js';
+export { networkAddressSchema } from './network-address.js';
 export { targetRecordSchema } from './target-record.js';
 export type { TargetRecord } from './target-record.js';
 export { compareIncarnations, targetIdOf, incarnationId } from './target-incarnation.js';
