fix(entry): an answer without a length that is reset does not pass for whole

Cause: where a reset is there before the data is read, the runtime reports an ordinary end and no error. TargetClient knew of resets by the error event alone.

New tests, failing on: 18 kinds of reset right after data (both agents; 1, 19,999 and 200,000 bytes; without fields, `connection: close`, `transfer-encoding: identity`), one on a used connection, one in BoundedAgent. They pass now; so do orderly ends, 100 at a time.

Change: at the end of such an answer `wasReset` asks the kernel for the other side's address: known where the connection is half closed, unknown after a reset. A reset answer is broken: sent again if idempotent and within the budget, else 502 without a promise. Handovers, the store's and peers' answers go the same way. `identity` is no length; one function says so, for ferrylockd too. `ferrylock_reset_answers_total` counts.

Why it works: the kernel's state is asked in the turn in which the end is reported, before this side closes.

--- a/packages/daemon/src/request/attempt.ts
+++ b/packages/daemon/src/request/attempt.ts
@@ -1,3 +1,4 @@
+import { isDelimited } from '@ferrylock/entry';
 import type { IncomingHttpHeaders, ServerResponse } from 'node:http';
 import type { MayHaveRun, NotRun, Target, Verdict } from '@ferrylock/steering';
 import { mayHaveRun, notRun } from '@ferrylock/steering';
@@ -186,9 +187,7 @@
   #faultOf(status: number, headers: IncomingHttpHeaders): string | undefined {
     const { request, body, wholeUpload } = this.#options;
     const hasBody = request.method !== 'HEAD' && !STATUS_WITHOUT_BODY.has(status);
-    const isDelimited =
-      headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-    if (hasBody && !isDelimited) {
+    if (hasBody && !isDelimited(headers)) {
       return 'the target’s answer does not say where it ends';
     }
     if (wholeUpload && status < 300 && !body.sentWhole) {
--- a/packages/entry/src/collect-host-metrics.ts
+++ b/packages/entry/src/collect-host-metrics.ts
@@ -8,6 +8,7 @@
 import type { HostMetrics } from './metrics-text.js';
 import type { EndlessAnswerCounts } from './request/endless-answer-counts.js';
 import type { StrayRecorder } from './request/stray-recorder.js';
+import type { TargetClient } from './request/target-client.js';
 import type { TargetSignalRecorder } from './request/target-signal-recorder.js';
 import { limitedTargets } from './routing/limited-targets.js';
 import { restingTargets } from './routing/resting-targets.js';
@@ -25,6 +26,7 @@
   readonly signalRecorder: TargetSignalRecorder;
   readonly strayRecorder: StrayRecorder;
   readonly endlessAnswers: EndlessAnswerCounts;
+  readonly client: Pick<TargetClient, 'resetAnswers'>;
   readonly handovers: HandoverController;
   readonly handoverReceiver: HandoverReceiver;
   readonly budget: ByteBudget;
@@ -40,6 +42,7 @@
   signalRecorder,
   strayRecorder,
   endlessAnswers,
+  client,
   handovers,
   handoverReceiver,
   budget,
@@ -81,6 +84,7 @@
     targetsEnded: crashDetector.crashes,
     strayResponses: strayRecorder.counts,
     endlessAnswers: endlessAnswers.counts,
+    resetAnswers: client.resetAnswers,
     rests: signalRecorder.rests,
     unwantedSends: signalRecorder.unwantedSends,
     targetsSaidLeaving: signalRecorder.leaving,
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -259,6 +259,7 @@
       signalRecorder: this.#signalRecorder,
       strayRecorder: this.#strayRecorder,
       endlessAnswers: this.#endlessAnswers,
+      client: this.#client,
       handovers: this.#handovers,
       handoverReceiver: this.#handoverReceiver,
       budget: this.#budget,
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -27,6 +27,7 @@
 export { suspectRecordSchema } from './fleet/suspect-record.js';
 export type { SuspectRecord } from './fleet/suspect-record.js';
 export { BoundedAgent } from './request/bounded-agent.js';
+export { isDelimited } from './request/is-delimited.js';
 export { FleetView } from './fleet/fleet-view.js';
 export type { DatagramTransport, CreateTransport } from './peers/datagram-transport.js';
 export type { PeerCalls } from './peers/peer-calls.js';
--- a/packages/entry/src/metrics-text.ts
+++ b/packages/entry/src/metrics-text.ts
@@ -97,6 +97,8 @@
   readonly strayResponses: readonly StrayCount[];
   /** Answers that were cut off since they exceeded a bound, by the part that did. */
   readonly endlessAnswers: ReadonlyMap<ExceededPart, number>;
+  /** Number of answers without a length that a reset broke off. */
+  readonly resetAnswers: number;
   /** Number of rests, which are back-offs that a target requests through Retry-After. */
   readonly rests: number;
   /** Number of requests sent to targets that were resting or leaving. */
@@ -202,6 +204,7 @@
     ...[...host.endlessAnswers].map(
       ([part, count]) => `ferrylock_endless_answers_total{part="${part}"} ${count}`,
     ),
+    ...counter('reset_answers_total', host.resetAnswers),
     ...counter('rests_total', host.rests),
     ...counter('unwanted_sends_total', host.unwantedSends),
     ...counter('targets_said_leaving_total', host.targetsSaidLeaving),
--- a/packages/entry/src/request/bounded-agent.ts
+++ b/packages/entry/src/request/bounded-agent.ts
@@ -1,7 +1,9 @@
 import type { Agent, Dispatcher } from 'undici';
+import { AnswerReset } from './answer-reset.js';
+import type { ConnectionControl } from './connection-uses.js';
 import { ConnectionUses } from './connection-uses.js';
 import { EndlessAnswer } from './endless-answer.js';
-import type { FramingGuard } from './framing-guard.js';
+import { isDelimited } from './is-delimited.js';
 
 /** Lower statuses are informational and precede the final response (RFC 9110, 15.2). */
 const FIRST_FINAL_STATUS = 200;
@@ -33,27 +35,29 @@
   }
 
   #bound(handler: Dispatcher.DispatchHandler): Dispatcher.DispatchHandler {
-    let framing: FramingGuard | undefined;
+    let connection: ConnectionControl | undefined;
+    let endsWithConnection = false;
     let bodyBytes = 0;
     return {
       onRequestStart: (controller, context) => {
         this.#uses.expect((_use, control) => {
-          framing = control.framing;
-          framing.begin((error) => {
+          connection = control;
+          control.framing.begin((error) => {
             controller.abort(error);
           });
         });
         handler.onRequestStart?.(controller, context);
       },
       onRequestUpgrade: (...upgrade) => handler.onRequestUpgrade?.(...upgrade),
-      onResponseStart: (controller, status, ...head) => {
+      onResponseStart: (controller, status, headers, ...rest) => {
         if (status >= FIRST_FINAL_STATUS) {
-          framing?.recordHead();
+          connection?.framing.recordHead();
+          endsWithConnection = !isDelimited(headers);
         }
-        handler.onResponseStart?.(controller, status, ...head);
+        handler.onResponseStart?.(controller, status, headers, ...rest);
       },
       onResponseData: (controller, chunk) => {
-        framing?.recordBody(chunk.length);
+        connection?.framing.recordBody(chunk.length);
         bodyBytes += chunk.length;
         if (bodyBytes > this.maxBodyBytes) {
           const message = `the body of the answer exceeds ${this.maxBodyBytes} bytes`;
@@ -62,12 +66,16 @@
         }
         handler.onResponseData?.(controller, chunk);
       },
-      onResponseEnd: (...end) => {
-        framing?.end();
-        handler.onResponseEnd?.(...end);
+      onResponseEnd: (controller, ...end) => {
+        connection?.framing.end();
+        if (endsWithConnection && connection?.wasReset() === true) {
+          handler.onResponseError?.(controller, new AnswerReset());
+          return;
+        }
+        handler.onResponseEnd?.(controller, ...end);
       },
       onResponseError: (...error) => {
-        framing?.end();
+        connection?.framing.end();
         handler.onResponseError?.(...error);
       },
     };
--- a/packages/entry/src/request/connection-uses.ts
+++ b/packages/entry/src/request/connection-uses.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net';
 import { FramingGuard } from './framing-guard.js';
 import { ReadingGate } from './reading-gate.js';
+import { wasReset } from './was-reset.js';
 
 /** Published by the transport as it begins to write a request, right after the request's start. */
 const SEND_CHANNEL = 'undici:client:sendHeaders';
@@ -18,6 +19,8 @@
 export interface ConnectionControl {
   readonly framing: FramingGuard;
   readonly gate: ReadingGate;
+  /** Tells, at the end of an answer, whether a reset of the connection ended it. */
+  readonly wasReset: () => boolean;
 }
 
 interface Connection extends ConnectionControl {
@@ -62,6 +65,7 @@
       requests: 0,
       framing: new FramingGuard(socket),
       gate: new ReadingGate(socket),
+      wasReset: () => wasReset(socket),
     };
     this.#connections.set(socket, created);
     return created;
--- a/packages/entry/src/request/target-client.ts
+++ b/packages/entry/src/request/target-client.ts
@@ -8,8 +8,10 @@
 import { ByteBudget } from '../transfers/byte-budget.js';
 import { HeldAnswer } from '../transfers/held-answer.js';
 import { releaseWhenClosed } from '../transfers/release-when-closed.js';
+import { isDelimited } from './is-delimited.js';
 import type { ConnectionControl, ConnectionUse } from './connection-uses.js';
 import { ConnectionUses } from './connection-uses.js';
+import { AnswerReset } from './answer-reset.js';
 import { EndlessAnswer } from './endless-answer.js';
 
 /** Keep-alive timeout for targets that do not advertise one. */
@@ -76,8 +78,8 @@
   readonly headers: IncomingHttpHeaders;
   readonly body: Buffer;
   /**
-   * True if the length of the body is declared or chunked. A body that ends with the connection may
-   * be truncated undetected.
+   * True if the length of the body is declared or chunked. Another body ends with the connection,
+   * which was not reset.
    */
   readonly isDelimited: boolean;
   /** True if the body was passed on as it came, and is empty here. */
@@ -131,9 +133,9 @@
 
 /** Sends requests to targets, one at a time per connection. */
 export class TargetClient {
+  /** Number of answers without a length that a reset broke off. */
+  resetAnswers = 0;
   readonly #options: TargetClientOptions;
-  /** Set while the transport handles the reset of a connection. */
-  #isReset = false;
   readonly #openConnections = new Map<string, number>();
   readonly #uses = new ConnectionUses();
   readonly #connect = this.#connector();
@@ -248,9 +250,10 @@
           },
           onResponseEnd: () => {
             endAnswer(connection);
-            if (this.#isReset && !isDelimited(headers)) {
+            if (!isDelimited(headers) && connection?.wasReset() === true) {
               held.drop();
-              resolve({ kind: 'broken', error: new Error('reset before the end of the answer') });
+              this.resetAnswers++;
+              resolve({ kind: 'broken', error: new AnswerReset() });
               return;
             }
             const body = receiver === undefined ? held.take() : receiver.complete();
@@ -304,10 +307,7 @@
     }
   }
 
-  /**
-   * Creates connections that report a reset. The transport takes the data before a reset for a
-   * complete response if the length is not declared, and calls back while it handles the reset.
-   */
+  /** Creates connections to the addresses that this host dials, and counts them. */
   #connector(): BuildConnector.connector {
     const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MILLISECONDS });
     return (options, callback) => {
@@ -320,12 +320,6 @@
           this.#countConnection(address, result[1]);
           onConnected(address, clock.now() - startedAt);
         }
-        result[1]?.prependListener('error', () => {
-          this.#isReset = true;
-          process.nextTick(() => {
-            this.#isReset = false;
-          });
-        });
         callback(...result);
       });
     };
@@ -355,10 +349,6 @@
   }
 }
 
-function isDelimited(headers: IncomingHttpHeaders): boolean {
-  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
-}
-
 /** Declared length of the body that follows a head; undefined if none is, or no body follows. */
 function bodyLength(
   method: string,
--- a/packages/entry/tests/request/bounded-agent.test.ts
+++ b/packages/entry/tests/request/bounded-agent.test.ts
@@ -9,8 +9,11 @@
 const MAX_BYTES = 256 * KILOBYTE;
 const CHUNKED = 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n';
 
-/** Makes a request to a server that writes the first part once and the second until it is closed. */
-async function receive(first: string, repeated = ''): Promise<string> {
+/**
+ * Makes a request to a server that writes the first part once and the second until it is closed, or
+ * resets the connection.
+ */
+async function receive(first: string, repeated = '', isReset = false): Promise<string> {
   const server = createServer((socket) => {
     socket.on('error', () => undefined);
     socket.once('data', () => {
@@ -20,6 +23,9 @@
         }
       };
       socket.write(first, more);
+      if (isReset) {
+        socket.resetAndDestroy();
+      }
     });
   });
   server.listen(0, '127.0.0.1');
@@ -43,6 +49,12 @@
     expect(await receive(whole)).toHaveLength(MAX_BYTES);
   });
 
+  // Guards against part of an answer of the store or a peer that passes for the whole.
+  it('rejects an answer without a length that is reset', async () => {
+    const answer = await receive('HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n{}', '', true);
+    expect(answer).toContain('reset before the end of the answer');
+  });
+
   // Guards against a store or a peer that fills a host's memory, or keeps it busy, within a call.
   it.each([
     ['body', 'HTTP/1.1 200 OK\r\n\r\n', 'x'.repeat(64 * KILOBYTE)],
--- a/packages/entry/tests/request/target-client.test.ts
+++ b/packages/entry/tests/request/target-client.test.ts
@@ -98,6 +98,60 @@
     expect(outcome.kind).toBe('broken');
   });
 
+  // Guards against part of an answer that reaches a caller as a whole one.
+  it.each(
+    [false, true].flatMap((usesOwnConnection) =>
+      ['', 'connection: close\r\n', 'transfer-encoding: identity\r\n'].flatMap((field) =>
+        [1, 19_999, 200_000].map((bytes) => ({ usesOwnConnection, field, bytes })),
+      ),
+    ),
+  )('rejects a response without length that is reset right after data: %j', async (kind) => {
+    const { usesOwnConnection, field, bytes } = kind;
+    for (let count = 0; count < 5; count++) {
+      const outcome = await send(
+        (socket) => {
+          socket.write(`${HEAD}${field}\r\n${'x'.repeat(bytes)}`);
+          socket.resetAndDestroy();
+        },
+        { usesOwnConnection },
+      );
+      server.close();
+      expect(outcome.kind).toBe('broken');
+    }
+  });
+
+  it('rejects one that is reset on a connection that was used before', async () => {
+    server = await startTarget((socket, request) => {
+      if (request.includes('/first')) {
+        socket.write('HTTP/1.1 204 No Content\r\n\r\n');
+      } else {
+        socket.write(`${HEAD}\r\nhalf`);
+        socket.resetAndDestroy();
+      }
+    });
+    const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+    const first = await client.send({ ...REQUEST, address, path: '/first' }).outcome;
+    await setImmediate();
+    const handle = client.send({ ...REQUEST, address, path: '/second' });
+    const second = await handle.outcome;
+    expect([first.kind, second.kind]).toEqual(['answered', 'broken']);
+    expect(handle.connectionUse?.requestsBefore).toBe(1);
+  });
+
+  it.each([false, true])('accepts many that end orderly, at the same time', async (isOwn) => {
+    server = await startTarget((socket) => socket.end(`${HEAD}\r\n${'x'.repeat(20_000)}`));
+    const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+    const sends = Array.from(
+      { length: 100 },
+      () => client.send({ ...REQUEST, address, usesOwnConnection: isOwn }).outcome,
+    );
+    const outcomes = await Promise.all(sends);
+    const lengths = outcomes.map((outcome) =>
+      outcome.kind === 'answered' ? outcome.response.body.length : outcome.kind,
+    );
+    expect(lengths).toEqual(sends.map(() => 20_000));
+  });
+
   it('rejects a response that is shorter than its length', async () => {
     const outcome = await send((socket) => socket.end(`${HEAD}content-length: 9\r\n\r\nhalf`));
     expect(outcome.kind).toBe('broken');
