fix(entry): an answer that came without a length gets the one that it has

Cause: such an answer is held whole and was sent so that only the end of the caller's connection told its end, as a killed process ends it too.

Change: the answer gets its length, its connection stays open.

--- a/packages/entry/src/request/response-writer.ts
+++ b/packages/entry/src/request/response-writer.ts
@@ -27,6 +27,8 @@
 const RETRY_AFTER_SECONDS = 0.4;
 /** Mean jitter added to a lower bound, so that callers do not all return at the same moment. */
 const RETURN_JITTER_SECONDS = 0.2;
+/** A response with one of these has no body, and none of the length that it declares. */
+const STATUSES_WITHOUT_BODY: ReadonlySet<number> = new Set([204, 304]);
 /** Statuses from here on say that a request was not served. */
 const FIRST_ERROR_STATUS = 400;
 
@@ -93,11 +95,8 @@
 
   #writeWhole({ response, request, handover }: RoutedExchange, received: TargetResponse): void {
     const headers = this.#forwardable(received);
-    if (!received.isDelimited) {
-      // The response may be truncated: a content-length would claim that it is complete.
-      response.useChunkedEncodingByDefault = false;
-      response.setHeader('connection', 'close');
-    } else if (request.method !== 'HEAD' && received.status !== 304) {
+    if (request.method !== 'HEAD' && !STATUSES_WITHOUT_BODY.has(received.status)) {
+      // The length also shows the caller that it has only a part if this host ends meanwhile.
       headers['content-length'] = String(received.body.length);
     }
     if (handover !== undefined) {
