feat(entry): connections that wait to be accepted are measured, logged and told in metrics

The runtime accepts one connection in a turn of the event loop, so a busy process has a queue that no late timer shows. Turns that accept a connection each are followed until one accepts none: the time since the first of them bounds the wait. ferrylock_accept_delay_seconds has the quantiles, and a host writes one line a second (`behind`) from 0.1 s on.

--- a/packages/entry/src/collect-host-metrics.ts
+++ b/packages/entry/src/collect-host-metrics.ts
@@ -13,6 +13,7 @@
 import { limitedTargets } from './routing/limited-targets.js';
 import { restingTargets } from './routing/resting-targets.js';
 import type { ByteBudget } from './transfers/byte-budget.js';
+import type { AcceptDelay } from './servers/accept-delay.js';
 import type { TargetCrashDetector } from './suspects/target-crash-detector.js';
 
 /** Limit on accounts of which the parts are listed. */
@@ -31,6 +32,7 @@
   readonly handoverReceiver: HandoverReceiver;
   readonly budget: ByteBudget;
   readonly fairAdmission: FairAdmission;
+  readonly acceptDelay: AcceptDelay;
 }
 
 /** Collects the metrics of an entry host from its parts. */
@@ -47,6 +49,7 @@
   handoverReceiver,
   budget,
   fairAdmission,
+  acceptDelay,
 }: HostMetricsSources): HostMetrics {
   const { view, peers, state, hosts, limits, reachability, storeProgress, viewExchange } = member;
   const services = [...state.services];
@@ -60,6 +63,7 @@
     },
     datagrams: member.datagrams,
     peerCalls: { total: viewExchange.calls, failed: viewExchange.failedCalls },
+    acceptDelays: acceptDelay.bounds,
     changeDelays: member.changeDelays,
     configurationVersion: state.active?.version,
     configurationProblems: state.active?.problems ?? [],
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -1,6 +1,7 @@
 import { randomUUID } from 'node:crypto';
 import type { BackgroundTasks } from '@ferrylock/utils';
 import type { Clock, Random } from '@ferrylock/utils';
+import { afterPoll } from './after-poll.js';
 import { UtilizationMeter } from './utilization-meter.js';
 import { Directory } from './directory.js';
 import type { DirectoryAnswer } from './directory.js';
@@ -43,6 +44,7 @@
 import { ShutdownWindow } from './shutdown-window.js';
 import { SummaryLog } from './summary-log.js';
 import { ControlServer } from './servers/control-server.js';
+import { AcceptDelay } from './servers/accept-delay.js';
 import { TrafficServer } from './servers/traffic-server.js';
 
 export interface EntryHostOptions {
@@ -78,6 +80,7 @@
   readonly #shutdownWindow: ShutdownWindow;
   readonly #fairAdmission: FairAdmission;
   readonly #directory: Directory;
+  readonly #acceptDelay: AcceptDelay;
   readonly #trafficServer: TrafficServer;
   readonly #controlServer: ControlServer;
   readonly #largeHostNames: LargeHostNames;
@@ -203,9 +206,13 @@
     const onFailure = (error: unknown): void => {
       events.logger.error('request handler failed', { error: String(error) });
     };
+    this.#acceptDelay = new AcceptDelay(clock, afterPoll);
     this.#trafficServer = new TrafficServer({
       handle: (request, response, path) => this.#forwarder.handle(request, response, path),
       onFailure,
+      onConnection: () => {
+        this.#acceptDelay.record();
+      },
     });
     this.#handoverReceiver = new HandoverReceiver({
       admission: new HandoverAdmission({
@@ -264,6 +271,7 @@
       handoverReceiver: this.#handoverReceiver,
       budget: this.#budget,
       fairAdmission: this.#fairAdmission,
+      acceptDelay: this.#acceptDelay,
     });
     return metricsText(this.metrics, host);
   }
@@ -296,6 +304,7 @@
       ...this.#options,
       member: this.#member,
       metrics: this.metrics,
+      acceptDelay: this.#acceptDelay,
     });
     this.#tasks.start('summary', (signal) => summary.run(signal));
     const startMilliseconds = Math.round(process.uptime() * 1_000);
--- a/packages/entry/src/events.ts
+++ b/packages/entry/src/events.ts
@@ -411,6 +411,15 @@
       }),
     ),
   }),
+  /** Connections waited until they were accepted: the host is short of processor time. */
+  z.object({
+    event: z.literal('behind'),
+    /** Number of connections that were accepted since the start. */
+    accepted: z.number(),
+    /** Bound on the longest wait since the last such event. */
+    acceptMilliseconds: z.number(),
+    inFlight: z.number(),
+  }),
   /** Periodic counts of requests. */
   z.object({
     event: z.literal('summary'),
--- a/packages/entry/src/metrics-text.ts
+++ b/packages/entry/src/metrics-text.ts
@@ -61,6 +61,8 @@
   >;
   /** Calls to peers for changes of the store. */
   readonly peerCalls: { readonly total: number; readonly failed: number };
+  /** Bounds on the time that connections waited until they were accepted. */
+  readonly acceptDelays: Histogram;
   readonly changeDelays: ChangeDelays;
   readonly configurationVersion: number | undefined;
   /** Parts of the active configuration that cannot be read. */
@@ -132,6 +134,8 @@
     ...counter('changes_total', host.changeDelays.changes),
     '# TYPE ferrylock_change_delay_seconds summary',
     ...quantileLines('change_delay_seconds', host.changeDelays.bounds),
+    '# TYPE ferrylock_accept_delay_seconds summary',
+    ...quantileLines('accept_delay_seconds', host.acceptDelays),
     ...counter('datagrams_sent_total', host.datagrams.sent),
     ...counter('datagram_bytes_sent_total', host.datagrams.sentBytes),
     ...counter('datagrams_failed_total', host.datagrams.failed),
--- a/packages/entry/src/request/request-metrics.ts
+++ b/packages/entry/src/request/request-metrics.ts
@@ -5,15 +5,7 @@
 import type { TransferEnd } from '../transfers/answer-transfer.js';
 import type { RequestKind } from '@ferrylock/routing';
 import type { Histogram } from 'hdr-histogram-js';
-// Importing this one file instead of the whole package shortens the start-up.
-import { constructorFromBucketSize } from 'hdr-histogram-js/dist/JsHistogramFactory.js';
-
-const SIGNIFICANT_DIGITS = 2;
-/** Highest value that histograms distinguish; route timeouts are far below it. */
-const MAX_LATENCY_MILLISECONDS = 600_000;
-
-/** Histogram with 32-bit counters. */
-const Histogram32 = constructorFromBucketSize(32);
+import { createLatencyHistogram, recordLatency } from './latency-histogram.js';
 
 /** Class that a request is counted under; `none` if its route is not known. */
 export type RequestClass = RequestKind | 'none';
@@ -55,7 +47,7 @@
   #record(requestClass: RequestClass, outcome: string, milliseconds: number): void {
     const { outcomes, latency } = this.#classOf(requestClass);
     outcomes.set(outcome, (outcomes.get(outcome) ?? 0) + 1);
-    latency.recordValue(Math.min(MAX_LATENCY_MILLISECONDS, Math.round(milliseconds)));
+    recordLatency(latency, milliseconds);
   }
 
   #classOf(requestClass: RequestClass): ClassMetrics {
@@ -65,7 +57,7 @@
     }
     const created = {
       outcomes: new Map<string, number>(),
-      latency: new Histogram32(1, MAX_LATENCY_MILLISECONDS, SIGNIFICANT_DIGITS),
+      latency: createLatencyHistogram(),
     };
     this.classes.set(requestClass, created);
     return created;
--- a/packages/entry/src/servers/traffic-server.ts
+++ b/packages/entry/src/servers/traffic-server.ts
@@ -21,6 +21,8 @@
     path: string,
   ) => Promise<void>;
   readonly onFailure: (error: unknown) => void;
+  /** Called for each connection that was accepted. */
+  readonly onConnection?: () => void;
   /** Interval of the checks for heads that do not end in time; absent for the HTTP server's own. */
   readonly headerCheckMilliseconds?: number;
 }
@@ -67,6 +69,7 @@
     });
     this.#app.server.on('connection', (socket: Socket) => {
       this.#connections.add(socket);
+      options.onConnection?.();
     });
     this.#app.all('/', (_request, reply) => {
       reply.hijack();
--- a/packages/entry/src/summary-log.ts
+++ b/packages/entry/src/summary-log.ts
@@ -2,16 +2,20 @@
 import type { EventLog } from './event-log.js';
 import type { FleetMember } from './fleet-member.js';
 import type { RequestMetrics } from './request/request-metrics.js';
+import type { AcceptDelay } from './servers/accept-delay.js';
 
 /** Interval at which the limit on log lines is refilled. */
 const REFILL_MILLISECONDS = 1_000;
 const SUMMARY_MILLISECONDS = 5_000;
+/** Wait of a connection that is logged; far above that at a host with processor time to spare. */
+const BEHIND_MILLISECONDS = 100;
 
 export interface SummaryLogOptions {
   readonly clock: Clock;
   readonly events: EventLog;
   readonly member: Pick<FleetMember, 'datagrams' | 'state'>;
   readonly metrics: RequestMetrics;
+  readonly acceptDelay: AcceptDelay;
 }
 
 /** Logs counts of requests and datagrams at regular intervals. */
@@ -29,6 +33,7 @@
     while (!signal.aborted) {
       await clock.sleep(REFILL_MILLISECONDS, signal);
       events.refill();
+      this.#writeIfBehind();
       if (clock.now() - writtenAt >= SUMMARY_MILLISECONDS) {
         writtenAt = clock.now();
         this.#write();
@@ -36,6 +41,15 @@
     }
   }
 
+  #writeIfBehind(): void {
+    const { events, metrics, acceptDelay } = this.#options;
+    const acceptMilliseconds = Math.round(acceptDelay.takeLargest());
+    if (acceptMilliseconds >= BEHIND_MILLISECONDS) {
+      const { accepted } = acceptDelay;
+      events.write({ event: 'behind', accepted, acceptMilliseconds, inFlight: metrics.inFlight });
+    }
+  }
+
   #write(): void {
     const { events, metrics, member } = this.#options;
     const { datagrams, state } = member;
--- a/packages/entry/tests/metrics-text.test.ts
+++ b/packages/entry/tests/metrics-text.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from 'vitest';
 import { ChangeDelays } from '../src/fleet/change-delays.js';
+import { createLatencyHistogram } from '../src/request/latency-histogram.js';
 import { metricsText } from '../src/metrics-text.js';
 import { RequestMetrics } from '../src/request/request-metrics.js';
 
@@ -9,6 +10,7 @@
 const HOST_METRICS = {
   datagrams: { sent: 40, sentBytes: 9_000, failed: 2, largestBytes: 1_200, omittedRows: 3 },
   peerCalls: { total: 5, failed: 1 },
+  acceptDelays: createLatencyHistogram(),
   changeDelays: CHANGE_DELAYS,
   beliefAgeMilliseconds: 250,
   configurationVersion: 7,
