fix(entry): requests are read before others are worked on, and refused while they can be

Cause: the runtime accepts one connection in a turn of the event loop. Each turn also worked on what it had read, so requests on fresh connections waited for seconds before they were accepted, with no timer late: the time-out began when the head was read, the check for callers that had left was off, and no limit saw them.

Change: RequestQueue. What is read waits for its turn. A turn that accepts a connection starts no request until requests have waited for 0.1 s, and then at intervals that grow with the wait of connections; none starts before one more poll, by when a close that came with it is known; the most urgent start first, accounts in equal parts. A request that would wait longer than its aim behind others (half of it once requests have waited for a second) is refused at once, `host-overload`, with a time to return in turn. `--without=request-queue` switches it off. Metrics ferrylock_queue_wait_seconds, _requests_waiting, _queue_refused_total, _queue_callers_gone_total; `behind` has the counts.

Two tests of the router call admit and receive in place of route.

--- a/packages/entry/src/collect-host-metrics.ts
+++ b/packages/entry/src/collect-host-metrics.ts
@@ -7,13 +7,13 @@
 import type { HandoverReceiver } from './handover/handover-receiver.js';
 import type { HostMetrics } from './metrics-text.js';
 import type { EndlessAnswerCounts } from './request/endless-answer-counts.js';
+import type { RequestQueue } from './queue/request-queue.js';
 import type { StrayRecorder } from './request/stray-recorder.js';
 import type { TargetClient } from './request/target-client.js';
 import type { TargetSignalRecorder } from './request/target-signal-recorder.js';
 import { limitedTargets } from './routing/limited-targets.js';
 import { restingTargets } from './routing/resting-targets.js';
 import type { ByteBudget } from './transfers/byte-budget.js';
-import type { AcceptDelay } from './servers/accept-delay.js';
 import type { TargetCrashDetector } from './suspects/target-crash-detector.js';
 
 /** Limit on accounts of which the parts are listed. */
@@ -32,7 +32,7 @@
   readonly handoverReceiver: HandoverReceiver;
   readonly budget: ByteBudget;
   readonly fairAdmission: FairAdmission;
-  readonly acceptDelay: AcceptDelay;
+  readonly queue: RequestQueue;
 }
 
 /** Collects the metrics of an entry host from its parts. */
@@ -49,7 +49,7 @@
   handoverReceiver,
   budget,
   fairAdmission,
-  acceptDelay,
+  queue,
 }: HostMetricsSources): HostMetrics {
   const { view, peers, state, hosts, limits, reachability, storeProgress, viewExchange } = member;
   const services = [...state.services];
@@ -63,7 +63,8 @@
     },
     datagrams: member.datagrams,
     peerCalls: { total: viewExchange.calls, failed: viewExchange.failedCalls },
-    acceptDelays: acceptDelay.bounds,
+    acceptDelays: queue.accepts.bounds,
+    queue,
     changeDelays: member.changeDelays,
     configurationVersion: state.active?.version,
     configurationProblems: state.active?.problems ?? [],
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -36,6 +36,7 @@
 import { EndlessAnswerCounts } from './request/endless-answer-counts.js';
 import { StrayRecorder } from './request/stray-recorder.js';
 import { TargetSignalRecorder } from './request/target-signal-recorder.js';
+import { RequestQueue } from './queue/request-queue.js';
 import type { RoutingState } from './routing/routing-state.js';
 import { EventLoopDelay } from './event-loop-delay.js';
 import type { CheckConnection } from './reachability/check-connection.js';
@@ -44,7 +45,6 @@
 import { ShutdownWindow } from './shutdown-window.js';
 import { SummaryLog } from './summary-log.js';
 import { ControlServer } from './servers/control-server.js';
-import { AcceptDelay } from './servers/accept-delay.js';
 import { TrafficServer } from './servers/traffic-server.js';
 
 export interface EntryHostOptions {
@@ -80,7 +80,7 @@
   readonly #shutdownWindow: ShutdownWindow;
   readonly #fairAdmission: FairAdmission;
   readonly #directory: Directory;
-  readonly #acceptDelay: AcceptDelay;
+  readonly #queue: RequestQueue;
   readonly #trafficServer: TrafficServer;
   readonly #controlServer: ControlServer;
   readonly #largeHostNames: LargeHostNames;
@@ -174,8 +174,14 @@
         events.write(partsEvent(change));
       },
     });
+    this.#queue = new RequestQueue({
+      clock,
+      afterPoll,
+      isDisabled: settings.disabledMechanisms.has('request-queue'),
+    });
     this.#forwarder = new RequestForwarder({
       ...options,
+      queue: this.#queue,
       fairAdmission: this.#fairAdmission,
       state,
       accounts,
@@ -206,12 +212,11 @@
     const onFailure = (error: unknown): void => {
       events.logger.error('request handler failed', { error: String(error) });
     };
-    this.#acceptDelay = new AcceptDelay(clock, afterPoll);
     this.#trafficServer = new TrafficServer({
       handle: (request, response, path) => this.#forwarder.handle(request, response, path),
       onFailure,
       onConnection: () => {
-        this.#acceptDelay.record();
+        this.#queue.accepts.record();
       },
     });
     this.#handoverReceiver = new HandoverReceiver({
@@ -271,7 +276,7 @@
       handoverReceiver: this.#handoverReceiver,
       budget: this.#budget,
       fairAdmission: this.#fairAdmission,
-      acceptDelay: this.#acceptDelay,
+      queue: this.#queue,
     });
     return metricsText(this.metrics, host);
   }
@@ -304,7 +309,7 @@
       ...this.#options,
       member: this.#member,
       metrics: this.metrics,
-      acceptDelay: this.#acceptDelay,
+      queue: this.#queue,
     });
     this.#tasks.start('summary', (signal) => summary.run(signal));
     const startMilliseconds = Math.round(process.uptime() * 1_000);
--- a/packages/entry/src/events.ts
+++ b/packages/entry/src/events.ts
@@ -411,7 +411,7 @@
       }),
     ),
   }),
-  /** Connections waited until they were accepted: the host is short of processor time. */
+  /** The host is short of processor time: connections wait, or requests are refused for it. */
   z.object({
     event: z.literal('behind'),
     /** Number of connections that were accepted since the start. */
@@ -419,6 +419,11 @@
     /** Bound on the longest wait since the last such event. */
     acceptMilliseconds: z.number(),
     inFlight: z.number(),
+    /** Requests that were read and on which work has not started. */
+    waiting: z.number(),
+    /** Numbers since the start of those that were refused, and of those whose callers had left. */
+    refused: z.number(),
+    callersGone: z.number(),
   }),
   /** Periodic counts of requests. */
   z.object({
--- a/packages/entry/src/metrics-text.ts
+++ b/packages/entry/src/metrics-text.ts
@@ -8,6 +8,7 @@
 import type { ChangeDelays } from './fleet/change-delays.js';
 import type { StoreProgress } from './fleet/store-progress.js';
 import type { DatagramCounts } from './peers/datagram-counts.js';
+import type { RequestQueue } from './queue/request-queue.js';
 import type { AccountRow } from './request/account-metrics.js';
 import type { ServiceRepeats } from './request/repeat-metrics.js';
 import type { ClassMetrics, RequestMetrics } from './request/request-metrics.js';
@@ -63,6 +64,8 @@
   readonly peerCalls: { readonly total: number; readonly failed: number };
   /** Bounds on the time that connections waited until they were accepted. */
   readonly acceptDelays: Histogram;
+  /** Waits of requests between reading and start, and the requests that did not start. */
+  readonly queue: Pick<RequestQueue, 'size' | 'waits' | 'refused' | 'callersGone'>;
   readonly changeDelays: ChangeDelays;
   readonly configurationVersion: number | undefined;
   /** Parts of the active configuration that cannot be read. */
@@ -136,6 +139,11 @@
     ...quantileLines('change_delay_seconds', host.changeDelays.bounds),
     '# TYPE ferrylock_accept_delay_seconds summary',
     ...quantileLines('accept_delay_seconds', host.acceptDelays),
+    '# TYPE ferrylock_queue_wait_seconds summary',
+    ...quantileLines('queue_wait_seconds', host.queue.waits),
+    ...gauge('requests_waiting', host.queue.size),
+    ...counter('queue_refused_total', host.queue.refused),
+    ...counter('queue_callers_gone_total', host.queue.callersGone),
     ...counter('datagrams_sent_total', host.datagrams.sent),
     ...counter('datagram_bytes_sent_total', host.datagrams.sentBytes),
     ...counter('datagrams_failed_total', host.datagrams.failed),
--- a/packages/entry/src/request/refusal.ts
+++ b/packages/entry/src/request/refusal.ts
@@ -19,6 +19,7 @@
   'too-many-bytes-held': 503,
   stopping: 503,
   'caller-gone': 503,
+  'host-overload': 503,
   'no-target': 503,
   overload: 503,
   'target-refused': 503,
--- a/packages/entry/src/request/refusals.ts
+++ b/packages/entry/src/request/refusals.ts
@@ -52,6 +52,12 @@
   return { reason: 'over-quota', detail, ran: 'no', retryAfterSeconds };
 }
 
+/** Refusal of a request that this host's processor has no time for. */
+export function hostOverload(retryAfterSeconds: number): Refusal {
+  const detail = 'this entry host gets more requests than it has processor time for';
+  return { reason: 'host-overload', detail, ran: 'no', retryAfterSeconds };
+}
+
 /** Refusal of a request beyond its account's part of a service that is short of room. */
 export function overPart({ retryAfterSeconds, ...figures }: OverPart): Refusal {
   const [part, demand, load] = [
--- a/packages/entry/src/request/request-forwarder-options.ts
+++ b/packages/entry/src/request/request-forwarder-options.ts
@@ -7,6 +7,7 @@
 import type { HeaderCodec } from './header-codec.js';
 import type { EventLog } from '../event-log.js';
 import type { HandoverController } from '../handover/handover-controller.js';
+import type { RequestQueue } from '../queue/request-queue.js';
 import type { TargetReachability } from '../reachability/target-reachability.js';
 import type { ByteBudget } from '../transfers/byte-budget.js';
 import type { ShutdownWindow } from '../shutdown-window.js';
@@ -39,6 +40,7 @@
   readonly responses: ResponseWriter;
   readonly metrics: RequestMetrics;
   readonly shutdownWindow: ShutdownWindow;
+  readonly queue: Pick<RequestQueue, 'wait'>;
   readonly ownName: string;
   /** True if the event loop was delayed lately, so that callers may have disconnected unnoticed. */
   readonly isLagging: () => boolean;
--- a/packages/entry/src/request/request-forwarder.ts
+++ b/packages/entry/src/request/request-forwarder.ts
@@ -17,7 +17,7 @@
 import type { RequestForwarderOptions } from './request-forwarder-options.js';
 import { recordVerdict } from './record-verdict.js';
 import { RepeatPermit } from './repeat-permit.js';
-import { RequestRouter } from './request-router.js';
+import { RequestIntake } from './request-intake.js';
 import { RequestProgress } from './request-progress.js';
 import { ServiceChoice } from './service-choice.js';
 import type { CancelCause } from './target-send.js';
@@ -27,7 +27,7 @@
 /** Forwards callers' requests to targets, retries them and returns the responses. */
 export class RequestForwarder {
   readonly #options: RequestForwarderOptions;
-  readonly #router: RequestRouter;
+  readonly #intake: RequestIntake;
   readonly #transfers: TransferController;
   readonly #services: ServiceChoice;
   readonly #deniedRepeats: DeniedRepeatLog;
@@ -35,7 +35,7 @@
 
   constructor(options: RequestForwarderOptions) {
     this.#options = options;
-    this.#router = new RequestRouter(options);
+    this.#intake = new RequestIntake(options);
     this.#services = new ServiceChoice(options);
     this.#forwarded = new ForwardedRequests(options);
     this.#transfers = new TransferController(options);
@@ -59,7 +59,10 @@
     metrics.inFlight++;
     let body: Buffer | undefined;
     try {
-      const routed = await this.#router.route(exchange);
+      const routed = await this.#intake.receive(exchange);
+      if (routed === 'caller-gone') {
+        return;
+      }
       if ('reason' in routed) {
         const { account, route, ...refusal } = routed;
         const match = route === undefined ? {} : { account, route };
--- a/packages/entry/src/request/request-router.ts
+++ b/packages/entry/src/request/request-router.ts
@@ -36,6 +36,11 @@
   readonly shutdownWindow: Pick<ShutdownWindow, 'canAnswer'>;
 }
 
+/** A request that the configuration admits, before its body is read. */
+export interface AdmittedExchange extends Omit<RoutedExchange, 'body'> {
+  readonly maxBodyBytes: number;
+}
+
 /** Admits callers' requests by the configuration. */
 export class RequestRouter {
   readonly #options: RequestRouterOptions;
@@ -44,11 +49,10 @@
     this.#options = options;
   }
 
-  /** Matches the route, charges the account and reads the body. */
-  async route(exchange: CallerExchange): Promise<RoutedExchange | RefusedExchange> {
-    const { state, bodyReader, accounts, shutdownWindow } = this.#options;
+  /** Matches the route and the account. */
+  admit(exchange: CallerExchange): AdmittedExchange | RefusedExchange {
     const { request, metadata, path, arrivedAt } = exchange;
-    const { active } = state;
+    const { active } = this.#options.state;
     if (active === undefined) {
       return notReady();
     }
@@ -73,7 +77,22 @@
     if (Number.isNaN(deadlineMilliseconds)) {
       return badRequest('expected a deadline in whole milliseconds');
     }
-    const deadlineAt = arrivedAt + Math.min(deadlineMilliseconds, route.timeoutMilliseconds);
+    return {
+      ...exchange,
+      requestId,
+      account,
+      route,
+      version: active.version,
+      maxBodyBytes: active.limits.mostBodyBytes,
+      deadlineAt: arrivedAt + Math.min(deadlineMilliseconds, route.timeoutMilliseconds),
+    };
+  }
+
+  /** Charges the account and reads the body. */
+  async receive(admitted: AdmittedExchange): Promise<RoutedExchange | RefusedExchange> {
+    const { bodyReader, accounts, shutdownWindow } = this.#options;
+    const { maxBodyBytes, ...exchange } = admitted;
+    const { request, account, route, deadlineAt } = exchange;
     if (!shutdownWindow.canAnswer(deadlineAt)) {
       return { ...stopping(), account, route };
     }
@@ -82,7 +101,7 @@
       return { ...overQuota(refusal), account, route };
     }
     const body = await bodyReader.read(request, {
-      maxBytes: active.limits.mostBodyBytes,
+      maxBytes: maxBodyBytes,
       deadlineAt,
     });
     if (body.isErr()) {
@@ -91,15 +110,7 @@
       }
       return { ...bodyRefusal(body.error), account, route };
     }
-    return {
-      ...exchange,
-      requestId,
-      account,
-      route,
-      version: active.version,
-      body: body.value,
-      deadlineAt,
-    };
+    return { ...exchange, body: body.value };
   }
 
   /** A configuration refuses nothing for good while a newer one may be in force. */
--- a/packages/entry/src/summary-log.ts
+++ b/packages/entry/src/summary-log.ts
@@ -1,8 +1,8 @@
 import type { Clock } from '@ferrylock/utils';
 import type { EventLog } from './event-log.js';
 import type { FleetMember } from './fleet-member.js';
+import type { RequestQueue } from './queue/request-queue.js';
 import type { RequestMetrics } from './request/request-metrics.js';
-import type { AcceptDelay } from './servers/accept-delay.js';
 
 /** Interval at which the limit on log lines is refilled. */
 const REFILL_MILLISECONDS = 1_000;
@@ -15,13 +15,15 @@
   readonly events: EventLog;
   readonly member: Pick<FleetMember, 'datagrams' | 'state'>;
   readonly metrics: RequestMetrics;
-  readonly acceptDelay: AcceptDelay;
+  readonly queue: Pick<RequestQueue, 'accepts' | 'size' | 'refused' | 'callersGone'>;
 }
 
 /** Logs counts of requests and datagrams at regular intervals. */
 export class SummaryLog {
   readonly #options: SummaryLogOptions;
   #sentBytes = 0;
+  /** Requests that had been refused for lack of processor time a second ago. */
+  #refused = 0;
 
   constructor(options: SummaryLogOptions) {
     this.#options = options;
@@ -42,11 +44,21 @@
   }
 
   #writeIfBehind(): void {
-    const { events, metrics, acceptDelay } = this.#options;
-    const acceptMilliseconds = Math.round(acceptDelay.takeLargest());
-    if (acceptMilliseconds >= BEHIND_MILLISECONDS) {
-      const { accepted } = acceptDelay;
-      events.write({ event: 'behind', accepted, acceptMilliseconds, inFlight: metrics.inFlight });
+    const { events, metrics, queue } = this.#options;
+    const { accepts, size: waiting, refused, callersGone } = queue;
+    const acceptMilliseconds = Math.round(accepts.takeLargest());
+    const isBehind = acceptMilliseconds >= BEHIND_MILLISECONDS || refused > this.#refused;
+    this.#refused = refused;
+    if (isBehind) {
+      events.write({
+        event: 'behind',
+        accepted: accepts.accepted,
+        acceptMilliseconds,
+        inFlight: metrics.inFlight,
+        waiting,
+        refused,
+        callersGone,
+      });
     }
   }
 
--- a/packages/entry/tests/metrics-text.test.ts
+++ b/packages/entry/tests/metrics-text.test.ts
@@ -11,6 +11,7 @@
   datagrams: { sent: 40, sentBytes: 9_000, failed: 2, largestBytes: 1_200, omittedRows: 3 },
   peerCalls: { total: 5, failed: 1 },
   acceptDelays: createLatencyHistogram(),
+  queue: { size: 3, waits: createLatencyHistogram(), refused: 5, callersGone: 2 },
   changeDelays: CHANGE_DELAYS,
   beliefAgeMilliseconds: 250,
   configurationVersion: 7,
--- a/packages/entry/tests/servers/accept-delay.test.ts
+++ b/packages/entry/tests/queue/accept-delay.test.ts
@@ -1,6 +1,6 @@
 import { FakeClock } from '@ferrylock/test-utils';
 import { describe, expect, it } from 'vitest';
-import { AcceptDelay } from '../../src/servers/accept-delay.js';
+import { AcceptDelay } from '../../src/queue/accept-delay.js';
 
 /** An event loop whose turns take as long as the test says. */
 function makeLoop() {
--- a/packages/entry/tests/request/request-router.test.ts
+++ b/packages/entry/tests/request/request-router.test.ts
@@ -47,16 +47,16 @@
 describe('RequestRouter', () => {
   it('refuses for good what the confirmed configuration has no route for', async () => {
     const { router } = await setUp(1_400);
-    expect(await router.route(makeUnknown())).toMatchObject({ reason: 'unknown-route', ran: 'no' });
+    expect(router.admit(makeUnknown())).toMatchObject({ reason: 'unknown-route', ran: 'no' });
   });
 
   // Guards against a 404 by an older version, by a host that has heard nothing for longer than the bound.
   it('refuses for the moment what a newer configuration may have a route for', async () => {
     const { clock, view, router } = await setUp(BOUND_MILLISECONDS);
     const reason = 'configuration-unconfirmed';
-    expect(await router.route(makeUnknown())).toMatchObject({ reason, ran: 'no' });
+    expect(router.admit(makeUnknown())).toMatchObject({ reason, ran: 'no' });
     view.confirm(CONFIRMED, { at: clock.now(), source: 'host-2' });
-    expect(await router.route(makeUnknown())).toMatchObject({ reason: 'unknown-route' });
+    expect(router.admit(makeUnknown())).toMatchObject({ reason: 'unknown-route' });
   });
 
   it('does so for a key that a newer configuration may know', async () => {
@@ -65,7 +65,7 @@
     const exchange = makeExchange();
     exchange.request.headers = { host: makeConfiguration().routes[0]?.host };
     exchange.metadata = { ...exchange.metadata, accountKey: 'new' };
-    expect(await router.route(exchange)).toMatchObject({ reason: 'configuration-unconfirmed' });
+    expect(router.admit(exchange)).toMatchObject({ reason: 'configuration-unconfirmed' });
   });
 
   it('routes by the configuration that it has, however old', async () => {
@@ -74,6 +74,10 @@
     const [route] = makeConfiguration().routes;
     exchange.request.headers = { host: route?.host };
     exchange.request.push(null);
-    expect(await router.route(exchange)).toMatchObject({ route: { name: route?.name } });
+    const admitted = router.admit(exchange);
+    if ('reason' in admitted) {
+      throw new Error(`refused: ${admitted.reason}`);
+    }
+    expect(await router.receive(admitted)).toMatchObject({ route: { name: route?.name } });
   });
 });
--- a/packages/routing/src/mechanisms.ts
+++ b/packages/routing/src/mechanisms.ts
@@ -25,6 +25,8 @@
   'told-limits',
   /** Refuses accounts beyond their part first while a service is short of room. */
   'fair-parts',
+  /** Reads all requests that wait before work on one starts, and refuses those that come too late. */
+  'request-queue',
   /** Starts a new epoch with later revisions when the store was restored from a snapshot. */
   'store-lives',
   /** Keeps records that such a store lacks until they are written again. */
