feat(entry): callers of a region that is short of processor time are led to others

Change: RegionOverflow. While the hosts of a region are above 0.85 busy and another region is below 0.6, a growing part of its callers, by the position of their addresses, is told hosts of other regions: 0.35 of the limit on shifts in its window, five times that while hosts of the region are missing, 0.8 at most, and back in the same steps below 0.65. Host names and accounts with homes are left alone. A utilization outside 0 to 1 says nothing. `--without=region-overflow` switches it off; ferrylock_region_overflow_share, line `region-overflow`.

--- a/packages/entry/src/collect-host-metrics.ts
+++ b/packages/entry/src/collect-host-metrics.ts
@@ -7,6 +7,7 @@
 import type { HandoverReceiver } from './handover/handover-receiver.js';
 import type { HostMetrics } from './metrics-text.js';
 import type { EndlessAnswerCounts } from './request/endless-answer-counts.js';
+import type { RegionOverflow } from './region-overflow.js';
 import type { RequestQueue } from './queue/request-queue.js';
 import type { StrayRecorder } from './request/stray-recorder.js';
 import type { TargetClient } from './request/target-client.js';
@@ -33,6 +34,7 @@
   readonly budget: ByteBudget;
   readonly fairAdmission: FairAdmission;
   readonly queue: RequestQueue;
+  readonly overflow: RegionOverflow;
 }
 
 /** Collects the metrics of an entry host from its parts. */
@@ -50,6 +52,7 @@
   budget,
   fairAdmission,
   queue,
+  overflow,
 }: HostMetricsSources): HostMetrics {
   const { view, peers, state, hosts, limits, reachability, storeProgress, viewExchange } = member;
   const services = [...state.services];
@@ -65,6 +68,7 @@
     peerCalls: { total: viewExchange.calls, failed: viewExchange.failedCalls },
     acceptDelays: queue.accepts.bounds,
     queue,
+    overflowShares: overflow.shares,
     changeDelays: member.changeDelays,
     configurationVersion: state.active?.version,
     configurationProblems: state.active?.problems ?? [],
--- a/packages/entry/src/entry-host.ts
+++ b/packages/entry/src/entry-host.ts
@@ -3,8 +3,8 @@
 import type { Clock, Random } from '@ferrylock/utils';
 import { afterPoll } from './after-poll.js';
 import { UtilizationMeter } from './utilization-meter.js';
-import { Directory } from './directory.js';
-import type { DirectoryAnswer } from './directory.js';
+import { createDirectory } from './create-directory.js';
+import type { Directory, DirectoryAnswer, DirectoryQuery } from './directory.js';
 import type { EntryHostSettings } from './entry-host-settings.js';
 import { createTasks } from './create-tasks.js';
 import type { EventLog } from './event-log.js';
@@ -37,6 +37,7 @@
 import { StrayRecorder } from './request/stray-recorder.js';
 import { TargetSignalRecorder } from './request/target-signal-recorder.js';
 import { RequestQueue } from './queue/request-queue.js';
+import { RegionOverflow } from './region-overflow.js';
 import type { RoutingState } from './routing/routing-state.js';
 import { EventLoopDelay } from './event-loop-delay.js';
 import type { CheckConnection } from './reachability/check-connection.js';
@@ -79,6 +80,7 @@
   readonly #endlessAnswers = new EndlessAnswerCounts();
   readonly #shutdownWindow: ShutdownWindow;
   readonly #fairAdmission: FairAdmission;
+  readonly #overflow: RegionOverflow;
   readonly #directory: Directory;
   readonly #queue: RequestQueue;
   readonly #trafficServer: TrafficServer;
@@ -156,15 +158,13 @@
       },
     });
     this.#strayRecorder = new StrayRecorder(events);
-    this.#directory = new Directory({
-      view,
-      peers,
-      own: () =>
-        this.#member.isLeaving || this.#record === undefined
-          ? undefined
-          : { host: this.#record, utilization: this.#utilizationMeter.utilization },
-      reachesNone: () => reachability.reachesNone,
-      maxTtlMilliseconds: settings.maxDirectoryTtlMilliseconds,
+    this.#overflow = new RegionOverflow({ clock, events, shiftLimit: settings.regionShiftLimit });
+    this.#directory = createDirectory({
+      settings,
+      member: this.#member,
+      overflow: this.#overflow,
+      ownRecord: () => this.#record,
+      utilization: () => this.#utilizationMeter.utilization,
     });
     this.#fairAdmission = new FairAdmission({
       ...options,
@@ -277,13 +277,14 @@
       budget: this.#budget,
       fairAdmission: this.#fairAdmission,
       queue: this.#queue,
+      overflow: this.#overflow,
     });
     return metricsText(this.metrics, host);
   }
 
-  /** Looks up the entry hosts for a caller of a region. */
-  directoryAnswer(region: string): DirectoryAnswer {
-    return this.#directory.answer(region);
+  /** Looks up the entry hosts for a caller. */
+  directoryAnswer(query: DirectoryQuery): DirectoryAnswer {
+    return this.#directory.answer(query);
   }
 
   /** Starts the servers and joins the fleet; refuses requests until a configuration is known. */
--- a/packages/entry/src/events.ts
+++ b/packages/entry/src/events.ts
@@ -1,5 +1,6 @@
 import { configurationProblemSchema } from '@ferrylock/routing';
 import { z } from 'zod';
+import { processorEvents } from './processor-events.js';
 import { sendTraceFields } from './request/send-trace.js';
 
 /** Request counts of one client account since the start. */
@@ -411,20 +412,7 @@
       }),
     ),
   }),
-  /** The host is short of processor time: connections wait, or requests are refused for it. */
-  z.object({
-    event: z.literal('behind'),
-    /** Number of connections that were accepted since the start. */
-    accepted: z.number(),
-    /** Bound on the longest wait since the last such event. */
-    acceptMilliseconds: z.number(),
-    inFlight: z.number(),
-    /** Requests that were read and on which work has not started. */
-    waiting: z.number(),
-    /** Numbers since the start of those that were refused, and of those whose callers had left. */
-    refused: z.number(),
-    callersGone: z.number(),
-  }),
+  ...processorEvents,
   /** Periodic counts of requests. */
   z.object({
     event: z.literal('summary'),
--- a/packages/entry/src/metrics-text.ts
+++ b/packages/entry/src/metrics-text.ts
@@ -66,6 +66,8 @@
   readonly acceptDelays: Histogram;
   /** Waits of requests between reading and start, and the requests that did not start. */
   readonly queue: Pick<RequestQueue, 'size' | 'waits' | 'refused' | 'callersGone'>;
+  /** Share of the callers of each region that are led to other regions. */
+  readonly overflowShares: ReadonlyMap<string, number>;
   readonly changeDelays: ChangeDelays;
   readonly configurationVersion: number | undefined;
   /** Parts of the active configuration that cannot be read. */
@@ -144,6 +146,10 @@
     ...gauge('requests_waiting', host.queue.size),
     ...counter('queue_refused_total', host.queue.refused),
     ...counter('queue_callers_gone_total', host.queue.callersGone),
+    '# TYPE ferrylock_region_overflow_share gauge',
+    ...[...host.overflowShares].map(
+      ([region, share]) => `ferrylock_region_overflow_share{region="${region}"} ${share}`,
+    ),
     ...counter('datagrams_sent_total', host.datagrams.sent),
     ...counter('datagram_bytes_sent_total', host.datagrams.sentBytes),
     ...counter('datagrams_failed_total', host.datagrams.failed),
--- a/packages/entry/src/routing/routing-state.ts
+++ b/packages/entry/src/routing/routing-state.ts
@@ -53,6 +53,8 @@
   /** Monotonic time in milliseconds at which it became active. */
   readonly activeSince: number;
   readonly routes: RouteTable;
+  /** Whether some accounts name the regions that may serve them. */
+  readonly accountsHaveHomes: boolean;
   readonly limits: CallerLimits;
   /** The first parts of it that cannot be read. */
   readonly problems: readonly ConfigurationProblem[];
@@ -219,6 +221,9 @@
       version,
       activeSince,
       routes: new RouteTable(routes, configuration.unusableRoutes),
+      accountsHaveHomes: (configuration.accounts ?? []).some(
+        ({ homeRegions }) => homeRegions.length > 0,
+      ),
       limits,
       problems: configuration.problems ?? [],
       admit: (route, key) => accounts?.admit(route, key) ?? Ok({ route, account: undefined }),
--- a/packages/entry/tests/directory.test.ts
+++ b/packages/entry/tests/directory.test.ts
@@ -3,16 +3,24 @@
 import { Directory } from '../src/directory.js';
 import { FleetView } from '../src/index.js';
 import { PeerTable, PEER_TIMEOUT_MILLISECONDS } from '../src/peers/peer-table.js';
+import { RegionOverflow } from '../src/region-overflow.js';
 import { hostChange, captureEvents } from './fixtures.js';
 
 interface FleetOptions {
   readonly large?: number;
   readonly small?: number;
   readonly region?: string;
+  /** Number of large hosts in another region. */
+  readonly elsewhere?: number;
 }
 
 /** Makes a fleet of live hosts in one region; names begin with `large` or `small`. */
-function makeFleet({ large = 4, small = 20, region = 'jylland' }: FleetOptions = {}) {
+function makeFleet({
+  large = 4,
+  small = 20,
+  region = 'jylland',
+  elsewhere = 0,
+}: FleetOptions = {}) {
   const clock = new FakeClock();
   const { log } = captureEvents();
   const view = new FleetView();
@@ -20,14 +28,15 @@
   const names = [
     ...Array.from({ length: large }, (_, index) => `large-${index}`),
     ...Array.from({ length: small }, (_, index) => `small-${index}`),
+    ...Array.from({ length: elsewhere }, (_, index) => `elsewhere-${index}`),
   ];
   view.replace(
     { revision: 1 },
     names.map((name) =>
       hostChange(1, {
         name,
-        region,
-        capacity: name.startsWith('large') ? 1.35 : 0.27,
+        region: name.startsWith('elsewhere') ? 'sjaelland' : region,
+        capacity: name.startsWith('small') ? 0.27 : 1.35,
         trafficAddress: name,
       }),
     ),
@@ -46,10 +55,18 @@
     peers,
     own: () => undefined,
     reachesNone: () => false,
+    overflow: new RegionOverflow({
+      clock,
+      events: log,
+      shiftLimit: { share: 0.15, windowMilliseconds: 2_000 },
+    }),
+    mayOverflow: (name) => name === 'anywhere.example',
     maxTtlMilliseconds: 5_000,
   });
-  const listed = (caller = region): string[] => [...directory.answer(caller).trafficAddresses];
-  return { clock, peers, names, report, listed };
+  const listed = (caller = region): string[] => [
+    ...directory.answer({ region: caller }).trafficAddresses,
+  ];
+  return { clock, peers, names, report, listed, directory };
 }
 
 describe('Directory', () => {
@@ -106,4 +123,49 @@
     const { listed } = makeFleet();
     expect(listed('fyn')).toHaveLength(4);
   });
+
+  describe('of a region whose hosts are all short of processor time', () => {
+    const name = 'anywhere.example';
+
+    /** Two busy hosts in fyn, and hosts of other regions that report some utilization. */
+    async function makeShort(utilization: number) {
+      const fleet = makeFleet({ large: 2, small: 0, region: 'fyn', elsewhere: 3 });
+      const ask = (caller: string, asked = name): readonly string[] =>
+        fleet.directory.answer({ region: 'fyn', name: asked, caller }).trafficAddresses;
+      for (let index = 0; index < 300; index++) {
+        await fleet.clock.advance(100);
+        fleet.report(0.95, ['large-0', 'large-1']);
+        fleet.report(utilization, ['elsewhere-0', 'elsewhere-1', 'elsewhere-2']);
+        ask('10.0.0.1');
+      }
+      const answers = Array.from({ length: 100 }, (_, index) => ask(`10.0.1.${index}`));
+      return { ...fleet, ask, answers };
+    }
+
+    const isLedAway = (addresses: readonly string[]): boolean =>
+      addresses.every((address) => address.startsWith('elsewhere'));
+
+    it('names the hosts of others to a part of the callers, and the same ones again', async () => {
+      const { answers, ask } = await makeShort(0.2);
+      const led = answers.filter(isLedAway).length;
+      expect(led).toBeGreaterThan(60);
+      expect(led).toBeLessThan(95);
+      const again = answers.map((_, index) => ask(`10.0.1.${index}`));
+      expect(again).toEqual(answers);
+    });
+
+    it('names them to none whose host name has homes', async () => {
+      const { answers, ask } = await makeShort(0.2);
+      const others = answers.map((_, index) => ask(`10.0.1.${index}`, 'home.example'));
+      expect(others.some(isLedAway)).toBe(false);
+    });
+
+    it.each([0.9, -1, 40, Number.NaN])(
+      'names none while the others report %d',
+      async (reported) => {
+        const { answers } = await makeShort(reported);
+        expect(answers.some(isLedAway)).toBe(false);
+      },
+    );
+  });
 });
--- a/packages/entry/tests/metrics-text.test.ts
+++ b/packages/entry/tests/metrics-text.test.ts
@@ -12,6 +12,7 @@
   peerCalls: { total: 5, failed: 1 },
   acceptDelays: createLatencyHistogram(),
   queue: { size: 3, waits: createLatencyHistogram(), refused: 5, callersGone: 2 },
+  overflowShares: new Map([['fyn', 0.25]]),
   changeDelays: CHANGE_DELAYS,
   beliefAgeMilliseconds: 250,
   configurationVersion: 7,
--- a/packages/routing/src/mechanisms.ts
+++ b/packages/routing/src/mechanisms.ts
@@ -27,6 +27,8 @@
   'fair-parts',
   /** Reads all requests that wait before work on one starts, and refuses those that come too late. */
   'request-queue',
+  /** Leads callers to other regions while the hosts of their own are short of processor time. */
+  'region-overflow',
   /** Starts a new epoch with later revisions when the store was restored from a snapshot. */
   'store-lives',
   /** Keeps records that such a store lacks until they are written again. */
--- a/packages/routing/src/route-table.ts
+++ b/packages/routing/src/route-table.ts
@@ -34,12 +34,23 @@
    * @param path - with or without a query
    */
   find(hostHeader: string, path: string): RouteMatch {
-    const host = hostHeader.toLowerCase().replace(/:\d+$/, '');
-    const entries = this.#byHost.get(host);
+    const entries = this.#entriesOf(hostHeader);
     const match = entries?.find(({ pathPrefix }) => path.startsWith(pathPrefix))?.match;
     return match ?? (this.#mayMissHosts ? 'unusable' : undefined);
   }
 
+  /** Whether any region may serve all requests for a host name, which has at least one route. */
+  isServedAnywhere(hostHeader: string): boolean {
+    const entries = this.#entriesOf(hostHeader) ?? [];
+    const isAnywhere = ({ match }: RouteEntry): boolean =>
+      match !== 'unusable' && match.homeRegions.length === 0;
+    return entries.length > 0 && !this.#mayMissHosts && entries.every(isAnywhere);
+  }
+
+  #entriesOf(hostHeader: string): RouteEntry[] | undefined {
+    return this.#byHost.get(hostHeader.toLowerCase().replace(/:\d+$/, ''));
+  }
+
   #add(host: string, entry: RouteEntry): void {
     const entries = this.#byHost.get(host) ?? [];
     entries.push(entry);
--- a/packages/routing/tests/route-table.test.ts
+++ b/packages/routing/tests/route-table.test.ts
@@ -42,4 +42,16 @@
     expect(withUnusable.find('a.example', '/a/1')).toBe(known);
     expect(withUnusable.find('c.example', '/a/1')).toBe('unusable');
   });
+
+  it('tells whether any region may serve a host name', () => {
+    const free = makeRoute({ host: 'a.example' });
+    const bound = makeRoute({ host: 'b.example', homeRegions: ['fyn'] });
+    const routes = [free, bound];
+    const known = new RouteTable(routes, [{ host: 'c.example' }]);
+    expect(known.isServedAnywhere('A.example:8080')).toBe(true);
+    expect(known.isServedAnywhere('b.example')).toBe(false);
+    expect(known.isServedAnywhere('c.example')).toBe(false);
+    expect(known.isServedAnywhere('d.example')).toBe(false);
+    expect(new RouteTable(routes, [{}]).isServedAnywhere('a.example')).toBe(false);
+  });
 });
