--- a/packages/entry/tests/region-overflow.test.ts
+++ b/packages/entry/tests/region-overflow.test.ts
@@ -94,7 +94,11 @@
       for (const caller of callers.filter(({ asksAt }) => asksAt <= now)) {
         const host = hosts[Math.floor(random.next() * hosts.length)];
         caller.away =
-          host?.leadsAway('fyn', caller.address, () => ({ own, others: 0.2, lacksHosts: false })) === true;
+          host?.leadsAway('fyn', caller.address, () => ({
+            own,
+            others: 0.2,
+            lacksHosts: false,
+          })) === true;
         caller.asksAt = now + (random.next() < 0.2 ? 6_000 : 2_000);
       }
       shares.push(callers.filter(({ away }) => away).length / callers.length);
@@ -107,5 +111,5 @@
       expect(Math.abs(share - (windows[index - 1] ?? share))).toBeLessThanOrEqual(0.15);
     }
     expect(Math.max(...windows)).toBeGreaterThan(0.2);
-  }));
+  });
 });
